feat: lay out the workspace, checked types, messages and settings

Cause: nothing stood yet. Ticket format, state in force with its digest, verdict book, process-to-process messages, settings, logs and metrics are the contracts that every other crate builds on. Measured: nothing yet.

--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! Idempotency keys claimed on several entry hosts.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command line client for operators.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `wisteria` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control replica daemon.
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,3 @@
+//! The `wisteria-control` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry host daemon.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The `wisteria-entry` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/feed/src/lib.rs
@@ -0,0 +1,1 @@
+//! Holds what is in force and streams it between processes.
--- /dev/null
+++ b/crates/forward/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request path from callers to backend servers.
--- /dev/null
+++ b/crates/guard/src/lib.rs
@@ -0,0 +1,1 @@
+//! Limits, deadlines, retry budgets and idempotency keys.
--- /dev/null
+++ b/crates/model/src/state.rs
@@ -0,0 +1,206 @@
+//! What is in force.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+use crate::fault::InputFault;
+use crate::ids;
+use crate::spec;
+use crate::ticket::{ChangeTicket, ObjectKey, ObjectState};
+
+/// An object in force and the ticket it came from.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HeldObject<T> {
+    /// Ticket that set or removed the object.
+    pub ticket: ids::TicketNumber,
+    /// The object, or nothing when the ticket removed it.
+    pub spec: Option<T>,
+}
+
+/// Objects of one kind by name; removed ones stay so that a lower ticket can't bring them back.
+pub type HeldMap<T> = BTreeMap<String, HeldObject<T>>;
+
+/// Everything in force after some count of accepted tickets.
+///
+/// The same tickets applied in the same order give the same state and digest on every process.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ForceState {
+    /// Count of tickets applied.
+    pub revision: ids::Revision,
+    /// Digest of all objects, kept up to date by each change.
+    pub digest: ids::Digest,
+    /// Regions by name.
+    pub regions: HeldMap<spec::RegionSpec>,
+    /// Links by `region/region`.
+    pub links: HeldMap<spec::LinkSpec>,
+    /// Entry hosts by name.
+    pub hosts: HeldMap<spec::HostSpec>,
+    /// Services by name.
+    pub services: HeldMap<spec::ServiceSpec>,
+    /// Blocks of client addresses by prefix.
+    pub blocks: HeldMap<spec::BlockSpec>,
+}
+
+impl ForceState {
+    /// Returns the ticket that an object in force came from.
+    pub fn holder(&self, key: &ObjectKey) -> Option<ids::TicketNumber> {
+        let name = &key.name;
+        match key.kind {
+            spec::ObjectKind::Region => self.regions.get(name).map(|held| held.ticket),
+            spec::ObjectKind::Link => self.links.get(name).map(|held| held.ticket),
+            spec::ObjectKind::Host => self.hosts.get(name).map(|held| held.ticket),
+            spec::ObjectKind::Service => self.services.get(name).map(|held| held.ticket),
+            spec::ObjectKind::Block => self.blocks.get(name).map(|held| held.ticket),
+        }
+    }
+
+    /// Returns the first object of a ticket that a higher ticket already holds.
+    pub fn superseding(&self, ticket: &ChangeTicket) -> Option<(ObjectKey, ids::TicketNumber)> {
+        ticket.objects.keys().find_map(|key| {
+            let holder = self.holder(key)?;
+            (holder > ticket.number).then(|| (key.clone(), holder))
+        })
+    }
+
+    /// Applies an accepted ticket and raises the revision by one.
+    pub fn apply(&mut self, ticket: &ChangeTicket) {
+        for (key, state) in &ticket.objects {
+            self.put(ticket.number, key, state);
+        }
+        self.revision += 1;
+    }
+
+    /// Returns the faults that the state would have after a ticket.
+    pub fn faults_after(&self, ticket: &ChangeTicket) -> Vec<InputFault> {
+        let mut next = self.clone();
+        next.apply(ticket);
+        next.faults()
+    }
+
+    /// Returns the region of an availability zone.
+    pub fn region_of(&self, zone: &str) -> Option<&str> {
+        live(&self.regions)
+            .find(|(_, spec)| spec.zones.iter().any(|z| z == zone))
+            .map(|(name, _)| name)
+    }
+
+    /// Returns the faults of the state as a whole: names that nothing defines, and caps that
+    /// can't hold.
+    fn faults(&self) -> Vec<InputFault> {
+        let mut faults = Vec::new();
+        let mut zones: BTreeMap<&str, (&str, f64)> = BTreeMap::new();
+        for (name, region) in live(&self.regions) {
+            for zone in &region.zones {
+                if let Some((other, _)) = zones.insert(zone, (name, region.cap)) {
+                    faults.push(InputFault::new(
+                        format!("region.{name}.zones"),
+                        zone,
+                        format!("a zone of one region; {other} has it too"),
+                    ));
+                }
+            }
+        }
+        for (name, _) in live(&self.links) {
+            for region in name.split('/') {
+                if live(&self.regions).all(|(known, _)| known != region) {
+                    faults.push(InputFault::new(
+                        format!("link.{name}"),
+                        region,
+                        "a region in force",
+                    ));
+                }
+            }
+        }
+        let mut zone_known = |field: String, zone: &str| {
+            if !zones.contains_key(zone) {
+                faults.push(InputFault::new(
+                    field,
+                    zone,
+                    "an availability zone of a region in force",
+                ));
+            }
+        };
+        for (name, host) in live(&self.hosts) {
+            zone_known(format!("host.{name}.zone"), &host.zone);
+        }
+        for (name, block) in live(&self.blocks) {
+            zone_known(format!("block.{name}.zone"), &block.zone);
+        }
+        for (name, service) in live(&self.services) {
+            for zone in service.places.keys() {
+                zone_known(format!("service.{name}.places.{zone}"), zone);
+            }
+        }
+        for (name, service) in live(&self.services) {
+            service_cap_faults(name, service, &zones, &mut faults);
+        }
+        faults
+    }
+
+    fn put(&mut self, number: ids::TicketNumber, key: &ObjectKey, state: &ObjectState) {
+        macro_rules! set {
+            ($map:ident, $variant:ident) => {{
+                let spec = match state {
+                    ObjectState::$variant(spec) => Some(spec.clone()),
+                    _ => None,
+                };
+                let held = HeldObject {
+                    ticket: number,
+                    spec,
+                };
+                self.digest ^= held_digest(key, &held);
+                if let Some(old) = self.$map.insert(key.name.clone(), held) {
+                    self.digest ^= held_digest(key, &old);
+                }
+            }};
+        }
+        match key.kind {
+            spec::ObjectKind::Region => set!(regions, Region),
+            spec::ObjectKind::Link => set!(links, Link),
+            spec::ObjectKind::Host => set!(hosts, Host),
+            spec::ObjectKind::Service => set!(services, Service),
+            spec::ObjectKind::Block => set!(blocks, Block),
+        }
+    }
+}
+
+/// Iterates over the objects of a map that are not removed.
+pub fn live<T>(map: &HeldMap<T>) -> impl Iterator<Item = (&str, &T)> {
+    map.iter()
+        .filter_map(|(name, held)| held.spec.as_ref().map(|spec| (name.as_str(), spec)))
+}
+
+fn service_cap_faults(
+    name: &str,
+    service: &spec::ServiceSpec,
+    zones: &BTreeMap<&str, (&str, f64)>,
+    faults: &mut Vec<InputFault>,
+) {
+    let total: f64 = service.places.values().map(|place| place.cap).sum();
+    if total <= 0.0 {
+        faults.push(InputFault::new(
+            format!("service.{name}.places"),
+            total,
+            "caps that sum to more than 0; remove the service to stop it",
+        ));
+    }
+    for (zone, place) in &service.places {
+        let Some((region, cap)) = zones.get(zone.as_str()) else {
+            continue;
+        };
+        if place.cap > *cap {
+            faults.push(InputFault::new(
+                format!("service.{name}.places.{zone}.cap"),
+                place.cap,
+                format!("at most the cap of region {region}, {cap}"),
+            ));
+        }
+    }
+}
+
+fn held_digest<T: Serialize>(key: &ObjectKey, held: &HeldObject<T>) -> ids::Digest {
+    let text = serde_json::to_vec(&(key.to_string(), held)).unwrap_or_default();
+    xxh3::xxh3_64(&text)
+}
--- /dev/null
+++ b/crates/proof/src/lib.rs
@@ -0,0 +1,1 @@
+//! Starts the system's processes for tests on loopback.
--- /dev/null
+++ b/crates/registry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Announced backend servers, their health, load and leaving.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in backend servers and load tool, for proof only.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The `wisteria-standin` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/steer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing decisions: places, caps, ramps, links and look-ups.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable state: write-ahead log and snapshots.
--- /dev/null
+++ b/crates/wisteriaspread/src/lib.rs
@@ -0,0 +1,1 @@
+//! Global traffic steering system.
