--- /dev/null
+++ b/crates/feed/src/service.rs
@@ -0,0 +1,177 @@
+//! Serves the view to watchers.
+
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+use futures_util::stream::{self, Stream};
+use model::ids;
+use tokio::sync::watch;
+use tonic::{Request, Response, Status};
+use wire::v1;
+use wire::v1::feed_event::Kind;
+use wire::v1::feed_server::{Feed, FeedServer};
+
+use crate::holder::{ForceChange, StateHolder};
+use crate::view::{BeatStamp, ForceView};
+
+/// Serves a holder's view to watchers, over a bounded number of streams.
+///
+/// A watcher that lags misses no change; beats that newer ones replaced are left out.
+#[derive(Debug, Clone)]
+pub struct FeedService {
+    holder: Arc<StateHolder>,
+    streams: Arc<AtomicUsize>,
+}
+
+impl FeedService {
+    /// Most streams that one process serves.
+    pub const MAX_STREAMS: usize = 1_024;
+
+    /// Creates a service of a holder.
+    pub fn new(holder: Arc<StateHolder>) -> Self {
+        Self {
+            holder,
+            streams: Arc::default(),
+        }
+    }
+
+    /// Returns the gRPC server of the service.
+    pub fn into_server(self) -> FeedServer<Self> {
+        FeedServer::new(self)
+            .max_decoding_message_size(wire::dial::MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(wire::dial::MAX_SNAPSHOT_BYTES)
+    }
+
+    /// Returns how many streams are open.
+    pub fn streams(&self) -> usize {
+        self.streams.load(Ordering::Relaxed)
+    }
+}
+
+#[tonic::async_trait]
+impl Feed for FeedService {
+    type WatchStream = Pin<Box<dyn Stream<Item = Result<v1::FeedEvent, Status>> + Send>>;
+
+    async fn watch(
+        &self,
+        request: Request<v1::WatchRequest>,
+    ) -> Result<Response<Self::WatchStream>, Status> {
+        let slot = StreamSlot::take(&self.streams).ok_or_else(|| {
+            Status::resource_exhausted("too many watchers; follow another source")
+        })?;
+        let request = request.into_inner();
+        let cursor = WatchCursor {
+            holder: Arc::clone(&self.holder),
+            versions: self.holder.subscribe(),
+            revision: self.first_revision(request.revision, request.digest),
+            stamp: None,
+            pending: Vec::new(),
+            _slot: slot,
+        };
+        let events = stream::unfold(cursor, WatchCursor::next);
+        Ok(Response::new(Box::pin(events)))
+    }
+}
+
+impl FeedService {
+    /// Returns the revision to go on from: 0 where the watcher's state can't be the same.
+    fn first_revision(&self, revision: ids::Revision, digest: ids::Digest) -> ids::Revision {
+        let view = self.holder.view();
+        let differs = view.state.revision == revision && view.state.digest != digest;
+        if differs {
+            return 0;
+        }
+        revision
+    }
+}
+
+/// Counts one open stream until it is dropped.
+#[derive(Debug)]
+struct StreamSlot(Arc<AtomicUsize>);
+
+impl StreamSlot {
+    fn take(streams: &Arc<AtomicUsize>) -> Option<Self> {
+        let slot = Self(Arc::clone(streams));
+        let before = streams.fetch_add(1, Ordering::Relaxed);
+        (before < FeedService::MAX_STREAMS).then_some(slot)
+    }
+}
+
+impl Drop for StreamSlot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// How far a watcher has come.
+struct WatchCursor {
+    holder: Arc<StateHolder>,
+    versions: watch::Receiver<u64>,
+    revision: ids::Revision,
+    stamp: Option<BeatStamp>,
+    /// Changes to send, the next one last.
+    pending: Vec<ForceChange>,
+    _slot: StreamSlot,
+}
+
+impl WatchCursor {
+    /// Waits for the next event to send.
+    async fn next(mut self) -> Option<(Result<v1::FeedEvent, Status>, Self)> {
+        loop {
+            self.versions.mark_unchanged();
+            if let Some(kind) = self.step() {
+                let event = v1::FeedEvent { kind: Some(kind) };
+                return Some((Ok(event), self));
+            }
+            if self.versions.changed().await.is_err() {
+                return None;
+            }
+        }
+    }
+
+    /// Returns what the watcher misses next, where it misses anything.
+    fn step(&mut self) -> Option<Kind> {
+        let view = self.holder.view();
+        if self.pending.is_empty() && view.state.revision > self.revision {
+            match self.holder.changes_after(self.revision) {
+                Some(changes) => self.pending = changes.into_iter().rev().collect(),
+                None => return Some(self.snapshot(&view)),
+            }
+        }
+        if let Some(change) = self.pending.pop() {
+            self.revision = change.revision;
+            return Some(Kind::Change(v1::Change {
+                revision: change.revision,
+                digest: change.digest,
+                ticket: change.ticket,
+            }));
+        }
+        self.beat(&view)
+    }
+
+    fn snapshot(&mut self, view: &ForceView) -> Kind {
+        self.revision = view.state.revision;
+        let state = serde_json::to_vec(&*view.state).unwrap_or_default();
+        Kind::Snapshot(v1::Snapshot {
+            revision: view.state.revision,
+            digest: view.state.digest,
+            state: state.into(),
+        })
+    }
+
+    fn beat(&mut self, view: &ForceView) -> Option<Kind> {
+        let stamp = view.stamp()?;
+        if self.stamp == Some(stamp) {
+            return None;
+        }
+        self.stamp = Some(stamp);
+        let (revision, digest) = view.beat_state;
+        Some(Kind::Beat(v1::Beat {
+            term: stamp.term,
+            sequence: stamp.sequence,
+            revision,
+            digest,
+        }))
+    }
+}
--- /dev/null
+++ b/crates/feed/tests/support/mod.rs
@@ -0,0 +1,35 @@
+//! A history of small tickets.
+
+use feed::holder::ForceChange;
+use model::raw::RawTicket;
+use model::state::ForceState;
+use model::ticket::ChangeTicket;
+
+/// Returns the ticket that makes a revision: a region whose cap is its number.
+pub(crate) fn ticket(revision: u64) -> ChangeTicket {
+    let name = format!("region-{}", revision % 7);
+    let text = format!(
+        "number = {revision}\n[region.{name}]\nzones = [\"{name}-a\"]\ncap = {revision}.0\n"
+    );
+    ChangeTicket::try_from(RawTicket::from_toml(&text).unwrap()).unwrap()
+}
+
+/// Returns the states after each of the first tickets.
+pub(crate) fn history(count: u64) -> Vec<ForceState> {
+    let mut state = ForceState::default();
+    (1..=count)
+        .map(|revision| {
+            state.apply(&ticket(revision));
+            state.clone()
+        })
+        .collect()
+}
+
+/// Returns the change that makes a revision of a history.
+pub(crate) fn change(states: &[ForceState], revision: u64) -> ForceChange {
+    ForceChange {
+        revision,
+        digest: states[revision as usize - 1].digest,
+        ticket: ticket(revision).to_json().into(),
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! The messages stand in `proto/wisteria.proto`; the code in [`v1`] is generated from them by
 //! `cargo run -p codegen` and committed, so that a build needs no generator.
 
+pub mod dial;
 pub mod token;
 
 /// Generated messages, clients and servers.
