--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,114 @@
+//! Settings of an entry host.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::LevelFilter;
+use model::fault::InputFault;
+use model::ids;
+use settings::list::{ProgramHelp, SettingHelp};
+use settings::reader::SettingReader;
+use settings::secret;
+use telemetry::logs::LogSettings;
+use wire::token::AccessToken;
+
+/// Help text of the program.
+pub const HELP: ProgramHelp = ProgramHelp {
+    program: "wisteria-entry",
+    summary: "Entry host: takes callers' requests and sends them to backend servers.",
+    settings: &[
+        help("name", "NAME", "name of this host, as tickets list it"),
+        help("zone", "ZONE", "availability zone of this host"),
+        help("callers", "ADDRESS", "where callers and backend servers connect"),
+        help("peers", "ADDRESS", "where other processes of the system connect"),
+        help("controls", "ADDRESSES", "control replicas, with commas between them"),
+        help("token-file", "FILE", "file of the token; else WISTERIA_TOKEN"),
+        help("answer-max-age", "TIME", "how long callers keep look-up answers [5s]"),
+        help("stop-bound", "TIME", "most time that a planned stop waits for running work [60s]"),
+        help("log-level", "LEVEL", "error, warn, info, debug or trace [info]"),
+        help("log-json", "", "one JSON object a line"),
+    ],
+};
+
+const fn help(name: &'static str, value: &'static str, text: &'static str) -> SettingHelp {
+    SettingHelp { name, value, text }
+}
+
+/// Checked settings of an entry host.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// Name of this host.
+    pub name: ids::HostName,
+    /// Availability zone of this host.
+    pub zone: ids::ZoneName,
+    /// Where callers and backend servers connect.
+    pub callers: SocketAddr,
+    /// Where other processes of the system connect.
+    pub peers: SocketAddr,
+    /// Control replicas.
+    pub controls: Vec<SocketAddr>,
+    /// Token of calls between processes.
+    pub token: AccessToken,
+    /// Token that an announcement must carry, where one is set.
+    pub announce_token: Option<AccessToken>,
+    /// How long callers keep look-up answers.
+    pub answer_max_age: Duration,
+    /// Most time that a planned stop waits for running work.
+    pub stop_bound: Duration,
+    /// How the process logs.
+    pub logs: LogSettings,
+}
+
+impl TryFrom<SettingReader> for EntrySettings {
+    type Error = Vec<InputFault>;
+
+    fn try_from(mut reader: SettingReader) -> Result<Self, Self::Error> {
+        let name = reader.required("name", SettingReader::name);
+        let zone = reader.required("zone", SettingReader::name);
+        let callers = reader.required("callers", SettingReader::address);
+        let peers = reader.required("peers", SettingReader::address);
+        let controls = reader.list("controls", SettingReader::address);
+        if controls.is_empty() {
+            reader.fault("controls", "", "at least one address");
+        }
+        let token = secret::read_token(&mut reader);
+        let announce_token = reader.variable("announce_token").map(AccessToken::new);
+        let answer_max_age = reader.or(
+            "answer-max-age",
+            SettingReader::duration,
+            Duration::from_secs(5),
+        );
+        let stop_bound = reader.or(
+            "stop-bound",
+            SettingReader::duration,
+            Duration::from_secs(60),
+        );
+        let logs = LogSettings {
+            level: reader.or("log-level", log_level, LevelFilter::Info),
+            json: reader.flag("log-json"),
+        };
+        reader.finish()?;
+        let (Some(name), Some(zone), Some(callers), Some(peers), Some(token)) =
+            (name, zone, callers, peers, token)
+        else {
+            return Err(Vec::new());
+        };
+        Ok(Self {
+            name,
+            zone,
+            callers,
+            peers,
+            controls,
+            token: AccessToken::new(token),
+            announce_token,
+            answer_max_age,
+            stop_bound,
+            logs,
+        })
+    }
+}
+
+fn log_level(text: &str) -> Result<LevelFilter, &'static str> {
+    text.parse()
+        .map_err(|_| "error, warn, info, debug or trace")
+}
