--- /dev/null
+++ b/crates/entry/src/dump.rs
@@ -0,0 +1,41 @@
+//! The whole state of the process as JSON, without secrets.
+
+use registry::BackendEntry;
+use serde_json::{json, Value};
+
+use crate::context::EntryContext;
+use crate::convert;
+
+/// Returns the whole state of the process.
+pub fn state(context: &EntryContext) -> Value {
+    let now = context.now();
+    let view = context.holder.view();
+    let snapshot = context.registry.snapshot();
+    json!({
+        "host": context.settings.name,
+        "zone": context.settings.zone,
+        "incarnation": context.incarnation,
+        "standing": context.standing(),
+        "confirmed": view.confirmed,
+        "beat": view.stamp(),
+        "beat_age_ms": view.beat_age(now).map(convert::millis),
+        "in_force": &*view.state,
+        "peers": context.peers().report(now),
+        "backend_servers": snapshot.entries().map(|entry| backend(entry)).collect::<Vec<_>>(),
+        "steering": context.steering.report(now),
+    })
+}
+
+fn backend(entry: &BackendEntry) -> Value {
+    let announcement = &entry.announcement;
+    json!({
+        "service": announcement.service,
+        "address": announcement.address,
+        "zone": announcement.zone,
+        "slots": announcement.slots,
+        "incarnation": announcement.incarnation,
+        "in_flight": entry.gauge.limit().in_flight(),
+        "limit": entry.gauge.limit().limit(),
+        "latency_ms": entry.gauge.latency().as_secs_f64() * 1e3,
+    })
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,27 @@
-//! Entry host daemon.
+//! The entry host daemon: takes callers' requests and sends them to backend servers.
+//!
+//! The decisions stand in crates of their own; this crate joins them to the network.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`settings`] | checked settings |
+//! | [`context`] | what all parts of the process share |
+//! | [`standing`] | whether the host may take new work |
+//! | [`peers`] | what the host knows of the other entry hosts |
+//! | [`exchange`] | exchange of announcements and standing with them |
+//! | [`convert`] | wire messages to checked types and back |
+//! | [`leases`] | cap shares from the leading control replica |
+//! | [`polls`] | health and load of backend servers |
+//! | [`answers`] | what is answered besides forwarded requests |
+//! | [`host`] | start and planned stop |
+
+pub mod answers;
+pub mod context;
+pub mod convert;
+pub mod exchange;
+pub mod host;
+pub mod leases;
+pub mod peers;
+pub mod polls;
+pub mod settings;
+pub mod standing;
--- a/crates/entry/src/standing.rs
+++ b/crates/entry/src/standing.rs
@@ -60,9 +60,14 @@
     /// Time within which a peer must have been heard to count as in reach.
     pub const HEARD_WITHIN: Duration = Duration::from_millis(2_000);
 
+    /// Tells whether the latest freshness stamp is recent enough.
+    pub fn is_fresh(&self) -> bool {
+        self.beat_age.is_some_and(|age| age <= Self::FRESH_WITHIN)
+    }
+
     /// Judges the facts.
     pub fn standing(&self) -> HostStanding {
-        let fresh = self.beat_age.is_some_and(|age| age <= Self::FRESH_WITHIN);
+        let fresh = self.is_fresh();
         let most = (self.heard + 1) * 2 > self.hosts && self.hosts > 1;
         if !self.confirmed {
             return HostStanding::Starting;
--- a/crates/registry/src/gauge.rs
+++ b/crates/registry/src/gauge.rs
@@ -163,7 +163,7 @@
     fn record_failure(&self, now: Instant) -> GaugeVerdict {
         self.limit.record(now, LimitSample::Failed);
         let failures = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
-        if failures % EJECT_FAILURES == 0 || self.probing.load(Ordering::Relaxed) == 1 {
+        if failures.is_multiple_of(EJECT_FAILURES) || self.probing.load(Ordering::Relaxed) == 1 {
             return GaugeVerdict::Eject;
         }
         GaugeVerdict::Keep
