--- /dev/null
+++ b/crates/store/src/replica.rs
@@ -0,0 +1,406 @@
+//! The store of one replica.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+use quorum::entry;
+use quorum::event::PersistWrite;
+use quorum::ids;
+
+use crate::disk::{DiskEdge, HostDisk};
+use crate::error::{Result, StoreError};
+use crate::identity::{self, FolderIdentity};
+use crate::record::{self, ReadRecord};
+use crate::segment::{LogRecord, LogReplay};
+
+/// Name of the file that a running process locks.
+pub const LOCK_NAME: &str = "lock";
+
+const LOG_PREFIX: &str = "log-";
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+const UNFINISHED_SUFFIX: &str = ".new";
+
+/// Keeps a replica's log and snapshots in one folder.
+///
+/// Each write is synced before [`ReplicaStore::write`] returns. After one that failed the store
+/// takes no more: what is on the disk is not known then, and nothing may be acknowledged.
+pub struct ReplicaStore {
+    disk: Box<dyn DiskEdge>,
+    folder: PathBuf,
+    hard: entry::HardState,
+    base: (ids::LogIndex, ids::Term),
+    segments: Vec<SegmentFile>,
+    failed: bool,
+}
+
+/// A log file and what decides when it may go.
+#[derive(Debug, Clone, Copy)]
+struct SegmentFile {
+    sequence: u64,
+    last_index: ids::LogIndex,
+    bytes: u64,
+}
+
+impl ReplicaStore {
+    /// Size above which a new log file is begun, in bytes.
+    pub const SEGMENT_BYTES: u64 = 16 << 20;
+
+    /// Opens a folder, which is created where it is not there.
+    ///
+    /// A record that a crash cut short at the end of the log is removed.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the folder is in use, belongs to another replica, is damaged before the end of
+    /// the log, or can't be read or written.
+    pub fn open(folder: &Path, replica: ids::ReplicaId) -> Result<(Self, entry::RecoveredState)> {
+        Self::open_on(Box::new(HostDisk::default()), folder, replica)
+    }
+
+    /// Opens a folder through the given edge.
+    ///
+    /// # Errors
+    ///
+    /// As [`ReplicaStore::open`].
+    pub fn open_on(
+        mut disk: Box<dyn DiskEdge>,
+        folder: &Path,
+        replica: ids::ReplicaId,
+    ) -> Result<(Self, entry::RecoveredState)> {
+        disk.create_folder(folder).map_err(StoreError::at(folder))?;
+        let lock = folder.join(LOCK_NAME);
+        if !disk.lock(&lock).map_err(StoreError::at(&lock))? {
+            return Err(StoreError::InUse(folder.to_path_buf()));
+        }
+        let mut store = Self {
+            disk,
+            folder: folder.to_path_buf(),
+            hard: entry::HardState::default(),
+            base: (0, 0),
+            segments: Vec::new(),
+            failed: false,
+        };
+        let state = store.recover(replica)?;
+        Ok((store, state))
+    }
+
+    /// Writes and syncs; the write is durable once this returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the disk does, and for good from then on.
+    pub fn write(&mut self, write: &PersistWrite) -> Result<()> {
+        if self.failed {
+            return Err(StoreError::Closed);
+        }
+        let result = self.write_all(write);
+        self.failed = result.is_err();
+        result
+    }
+
+    fn write_all(&mut self, write: &PersistWrite) -> Result<()> {
+        if let Some(snapshot) = &write.snapshot {
+            self.write_snapshot(snapshot)?;
+        }
+        let full = self
+            .segments
+            .last()
+            .is_some_and(|s| s.bytes > Self::SEGMENT_BYTES);
+        if full {
+            self.start_segment()?;
+        }
+        self.append_log(write)
+    }
+
+    fn append_log(&mut self, write: &PersistWrite) -> Result<()> {
+        let mut bytes = Vec::new();
+        if let Some(hard) = write.hard {
+            record::encode(&LogRecord::Hard(hard), &mut bytes)?;
+            self.hard = hard;
+        }
+        if let Some(index) = write.truncate_from {
+            record::encode(&LogRecord::Truncate(index), &mut bytes)?;
+        }
+        for entry in &write.append {
+            record::encode(&LogRecord::Entry(entry.clone()), &mut bytes)?;
+        }
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        let last_index = write.append.last().map_or(0, |entry| entry.index);
+        self.append_segment(&bytes, last_index)
+    }
+
+    fn append_segment(&mut self, bytes: &[u8], last_index: ids::LogIndex) -> Result<()> {
+        let Some(segment) = self.segments.last_mut() else {
+            return Err(StoreError::Closed);
+        };
+        segment.bytes += bytes.len() as u64;
+        segment.last_index = segment.last_index.max(last_index);
+        let path = self.folder.join(log_name(segment.sequence));
+        self.disk
+            .append(&path, bytes)
+            .map_err(StoreError::at(&path))?;
+        self.disk.sync_file(&path).map_err(StoreError::at(&path))
+    }
+
+    /// Puts a snapshot in place, begins a new log file and removes what the snapshot replaces.
+    ///
+    /// The snapshot is durable before anything that it replaces goes.
+    fn write_snapshot(&mut self, snapshot: &entry::LogSnapshot) -> Result<()> {
+        if snapshot.index <= self.base.0 {
+            return Ok(());
+        }
+        let mut bytes = Vec::new();
+        record::encode(snapshot, &mut bytes)?;
+        self.put_file(&snapshot_name(snapshot.index), &bytes)?;
+        self.base = (snapshot.index, snapshot.term);
+        self.start_segment()?;
+        self.remove_replaced()
+    }
+
+    /// Writes a file under another name, syncs it, renames it and syncs the folder.
+    fn put_file(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        let path = self.folder.join(name);
+        let unfinished = self.folder.join(format!("{name}{UNFINISHED_SUFFIX}"));
+        let disk = &mut self.disk;
+        disk.append(&unfinished, bytes)
+            .map_err(StoreError::at(&unfinished))?;
+        disk.sync_file(&unfinished)
+            .map_err(StoreError::at(&unfinished))?;
+        disk.rename(&unfinished, &path)
+            .map_err(StoreError::at(&path))?;
+        disk.sync_folder(&self.folder)
+            .map_err(StoreError::at(&self.folder))
+    }
+
+    fn start_segment(&mut self) -> Result<()> {
+        let sequence = self.segments.last().map_or(1, |s| s.sequence + 1);
+        let mut bytes = Vec::new();
+        let record = LogRecord::Start {
+            sequence,
+            hard: self.hard,
+            index: self.base.0,
+            term: self.base.1,
+        };
+        record::encode(&record, &mut bytes)?;
+        self.put_file(&log_name(sequence), &bytes)?;
+        self.segments.push(SegmentFile {
+            sequence,
+            last_index: 0,
+            bytes: bytes.len() as u64,
+        });
+        Ok(())
+    }
+
+    /// Removes the oldest log files as far as the snapshot holds all of their entries, and older
+    /// snapshots.
+    fn remove_replaced(&mut self) -> Result<()> {
+        let base = self.base.0;
+        let open = self.segments.len().saturating_sub(1);
+        let count = self
+            .segments
+            .iter()
+            .take(open)
+            .take_while(|s| s.last_index <= base)
+            .count();
+        for segment in self.segments.drain(..count) {
+            let path = self.folder.join(log_name(segment.sequence));
+            self.disk.remove(&path).map_err(StoreError::at(&path))?;
+        }
+        for (name, index) in self.numbered(SNAPSHOT_PREFIX)? {
+            if index < base {
+                let path = self.folder.join(name);
+                self.disk.remove(&path).map_err(StoreError::at(&path))?;
+            }
+        }
+        Ok(())
+    }
+
+    fn recover(&mut self, replica: ids::ReplicaId) -> Result<entry::RecoveredState> {
+        let names = self.list()?;
+        for name in names.iter().filter(|n| n.ends_with(UNFINISHED_SUFFIX)) {
+            let path = self.folder.join(name);
+            self.disk.remove(&path).map_err(StoreError::at(&path))?;
+        }
+        let blank = !names.iter().any(|name| is_state(name));
+        if blank {
+            self.put_identity(replica)?;
+        }
+        let identity = FolderIdentity::read(self.disk.as_mut(), &self.folder, replica)?;
+        let snapshot = self.read_snapshot()?;
+        let replay = self.replay(&snapshot)?;
+        self.base = (snapshot.index, snapshot.term);
+        self.hard = replay.hard;
+        if self.segments.is_empty() {
+            self.start_segment()?;
+        }
+        self.remove_replaced()?;
+        Ok(entry::RecoveredState {
+            incarnation: identity.incarnation,
+            blank,
+            hard: replay.hard,
+            snapshot,
+            entries: replay.entries,
+        })
+    }
+
+    fn put_identity(&mut self, replica: ids::ReplicaId) -> Result<()> {
+        let mut bytes = Vec::new();
+        record::encode(&FolderIdentity::draw(replica), &mut bytes)?;
+        self.put_file(identity::FILE_NAME, &bytes)
+    }
+
+    fn read_snapshot(&mut self) -> Result<entry::LogSnapshot> {
+        let Some((name, _)) = self.numbered(SNAPSHOT_PREFIX)?.pop() else {
+            return Ok(entry::LogSnapshot::default());
+        };
+        let path = self.folder.join(name);
+        let bytes = self.disk.read(&path).map_err(StoreError::at(&path))?;
+        match record::decode(&bytes, 0) {
+            ReadRecord::Whole(snapshot, end) if end == bytes.len() => Ok(snapshot),
+            ReadRecord::Damaged(reason) => Err(StoreError::Damaged(path, 0, reason)),
+            _ => Err(StoreError::Damaged(path, 0, "it is not one whole record")),
+        }
+    }
+
+    fn replay(&mut self, snapshot: &entry::LogSnapshot) -> Result<LogReplay> {
+        let files = self.numbered(LOG_PREFIX)?;
+        let mut replay = LogReplay::new(snapshot.index);
+        for (position, (name, sequence)) in files.iter().enumerate() {
+            let path = self.folder.join(name);
+            let last = position + 1 == files.len();
+            let follows = self
+                .segments
+                .last()
+                .is_none_or(|s| s.sequence + 1 == *sequence);
+            if !follows {
+                return Err(StoreError::Damaged(
+                    path,
+                    0,
+                    "the log file before it is missing",
+                ));
+            }
+            let segment = self.replay_file(&path, *sequence, last, &mut replay)?;
+            self.segments.push(segment);
+        }
+        if files.is_empty() && snapshot.index > 0 {
+            let path = self.folder.clone();
+            return Err(StoreError::Damaged(path, 0, "its log files are missing"));
+        }
+        replay.start_after(snapshot.index, snapshot.term);
+        let first = replay
+            .entries
+            .first()
+            .map_or(snapshot.index + 1, |e| e.index);
+        if first != snapshot.index + 1 {
+            let path = self.folder.clone();
+            return Err(StoreError::Damaged(
+                path,
+                0,
+                "entries after the snapshot are missing",
+            ));
+        }
+        Ok(replay)
+    }
+
+    fn replay_file(
+        &mut self,
+        path: &Path,
+        sequence: u64,
+        last: bool,
+        replay: &mut LogReplay,
+    ) -> Result<SegmentFile> {
+        let bytes = self.disk.read(path).map_err(StoreError::at(path))?;
+        let damaged =
+            |offset: usize, reason| StoreError::Damaged(path.to_path_buf(), offset as u64, reason);
+        let mut last_index = 0;
+        let mut offset = 0;
+        loop {
+            match record::decode::<LogRecord>(&bytes, offset) {
+                ReadRecord::Whole(record, end) => {
+                    let start = matches!(record, LogRecord::Start { .. });
+                    if start != (offset == 0) {
+                        return Err(damaged(offset, "a start record is out of place"));
+                    }
+                    if let LogRecord::Entry(entry) = &record {
+                        last_index = last_index.max(entry.index);
+                    }
+                    replay
+                        .apply(record)
+                        .map_err(|reason| damaged(offset, reason))?;
+                    offset = end;
+                }
+                ReadRecord::End if offset > 0 => break,
+                ReadRecord::Torn if last && offset > 0 => {
+                    self.cut(path, offset as u64)?;
+                    break;
+                }
+                ReadRecord::End | ReadRecord::Torn => {
+                    return Err(damaged(offset, "the file ends too early"));
+                }
+                ReadRecord::Damaged(reason) => return Err(damaged(offset, reason)),
+            }
+        }
+        Ok(SegmentFile {
+            sequence,
+            last_index,
+            bytes: offset as u64,
+        })
+    }
+
+    /// Removes a record that a crash cut short.
+    fn cut(&mut self, path: &Path, length: u64) -> Result<()> {
+        log::warn!(target: "store", "cut an incomplete record from {} at byte {length}", path.display());
+        self.disk
+            .truncate(path, length)
+            .map_err(StoreError::at(path))?;
+        self.disk.sync_file(path).map_err(StoreError::at(path))
+    }
+
+    fn list(&mut self) -> Result<Vec<String>> {
+        self.disk
+            .list(&self.folder)
+            .map_err(StoreError::at(&self.folder))
+    }
+
+    /// Lists the files with a prefix and a number after it, in the order of the numbers.
+    fn numbered(&mut self, prefix: &str) -> Result<Vec<(String, u64)>> {
+        let mut files: Vec<_> = self
+            .list()?
+            .into_iter()
+            .filter_map(|name| {
+                let number = name.strip_prefix(prefix)?.parse().ok()?;
+                Some((name, number))
+            })
+            .collect();
+        files.sort_by_key(|(_, number)| *number);
+        Ok(files)
+    }
+}
+
+impl fmt::Debug for ReplicaStore {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ReplicaStore")
+            .field("folder", &self.folder)
+            .field("hard", &self.hard)
+            .field("base", &self.base)
+            .field("segments", &self.segments)
+            .field("failed", &self.failed)
+            .finish_non_exhaustive()
+    }
+}
+
+fn log_name(sequence: u64) -> String {
+    format!("{LOG_PREFIX}{sequence:020}")
+}
+
+fn snapshot_name(index: ids::LogIndex) -> String {
+    format!("{SNAPSHOT_PREFIX}{index:020}")
+}
+
+/// Tells whether a file of this name holds state that a start depends on.
+fn is_state(name: &str) -> bool {
+    let finished = !name.ends_with(UNFINISHED_SUFFIX);
+    finished && name != LOCK_NAME
+}
--- /dev/null
+++ b/crates/store/tests/common/mod.rs
@@ -0,0 +1,204 @@
+//! A disk with faults, and writes to put on it.
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::fs::{self, OpenOptions};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+
+use quorum::entry::{EntryPayload, HardState, LogEntry, LogSnapshot};
+use quorum::event::PersistWrite;
+use store::disk::{DiskEdge, HostDisk};
+
+/// What happens at the chosen operation.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Fault {
+    /// The operation fails and does nothing.
+    Error,
+    /// An append writes half of its bytes; then there is no space.
+    ShortWrite,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct DiskState {
+    operations: usize,
+    fault: Option<(usize, Fault)>,
+    written: BTreeMap<PathBuf, u64>,
+    synced: BTreeMap<PathBuf, u64>,
+    renamed: Vec<(PathBuf, PathBuf)>,
+}
+
+/// The host's files, with a fault at one operation and a crash that loses what was not synced.
+#[derive(Clone, Default)]
+pub(crate) struct FaultDisk {
+    state: Arc<Mutex<DiskState>>,
+    host: Arc<Mutex<HostDisk>>,
+}
+
+impl FaultDisk {
+    pub(crate) fn fail_at(&self, operation: usize, fault: Fault) {
+        let mut state = self.state.lock().unwrap();
+        state.fault = Some((state.operations + operation, fault));
+    }
+
+    pub(crate) fn operations(&self) -> usize {
+        self.state.lock().unwrap().operations
+    }
+
+    /// Ends the process's hold on the files and loses all that was not synced.
+    pub(crate) fn crash(&self) {
+        *self.host.lock().unwrap() = HostDisk::default();
+        let mut state = self.state.lock().unwrap();
+        for (path, written) in &state.written {
+            let synced = state.synced.get(path).copied().unwrap_or(0);
+            if synced < *written && path.exists() {
+                let file = OpenOptions::new().write(true).open(path).unwrap();
+                file.set_len(synced).unwrap();
+            }
+        }
+        while let Some((from, to)) = state.renamed.pop() {
+            fs::rename(to, from).unwrap();
+        }
+    }
+
+    fn step(&self) -> Option<Fault> {
+        let mut state = self.state.lock().unwrap();
+        let now = state.operations;
+        state.operations += 1;
+        state.fault.filter(|(at, _)| *at == now).map(|(_, f)| f)
+    }
+
+    fn act<T>(&self, act: impl FnOnce(&mut HostDisk) -> io::Result<T>) -> io::Result<T> {
+        match self.step() {
+            Some(_) => Err(io::Error::from(io::ErrorKind::StorageFull)),
+            None => act(&mut self.host.lock().unwrap()),
+        }
+    }
+}
+
+impl DiskEdge for FaultDisk {
+    fn create_folder(&mut self, folder: &Path) -> io::Result<()> {
+        self.host.lock().unwrap().create_folder(folder)
+    }
+
+    fn lock(&mut self, path: &Path) -> io::Result<bool> {
+        self.host.lock().unwrap().lock(path)
+    }
+
+    fn list(&mut self, folder: &Path) -> io::Result<Vec<String>> {
+        self.host.lock().unwrap().list(folder)
+    }
+
+    fn read(&mut self, path: &Path) -> io::Result<Vec<u8>> {
+        self.host.lock().unwrap().read(path)
+    }
+
+    fn append(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        let fault = self.step();
+        let written = match fault {
+            None => bytes,
+            Some(Fault::ShortWrite) => &bytes[..bytes.len() / 2],
+            Some(Fault::Error) => &[],
+        };
+        self.host.lock().unwrap().append(path, written)?;
+        let length = fs::metadata(path).unwrap().len();
+        self.state
+            .lock()
+            .unwrap()
+            .written
+            .insert(path.to_path_buf(), length);
+        match fault {
+            None => Ok(()),
+            Some(_) => Err(io::Error::from(io::ErrorKind::StorageFull)),
+        }
+    }
+
+    fn truncate(&mut self, path: &Path, length: u64) -> io::Result<()> {
+        self.act(|host| host.truncate(path, length))
+    }
+
+    fn sync_file(&mut self, path: &Path) -> io::Result<()> {
+        self.act(|host| host.sync_file(path))?;
+        let mut state = self.state.lock().unwrap();
+        let length = state.written.get(path).copied().unwrap_or(0);
+        state.synced.insert(path.to_path_buf(), length);
+        Ok(())
+    }
+
+    fn sync_folder(&mut self, folder: &Path) -> io::Result<()> {
+        self.act(|host| host.sync_folder(folder))?;
+        self.state.lock().unwrap().renamed.clear();
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()> {
+        self.act(|host| host.rename(from, to))?;
+        let mut state = self.state.lock().unwrap();
+        move_length(&mut state.written, from, to);
+        move_length(&mut state.synced, from, to);
+        state.renamed.push((from.to_path_buf(), to.to_path_buf()));
+        Ok(())
+    }
+
+    fn remove(&mut self, path: &Path) -> io::Result<()> {
+        self.act(|host| host.remove(path))?;
+        let mut state = self.state.lock().unwrap();
+        state.written.remove(path);
+        state.synced.remove(path);
+        Ok(())
+    }
+}
+
+fn move_length(lengths: &mut BTreeMap<PathBuf, u64>, from: &Path, to: &Path) {
+    if let Some(length) = lengths.remove(from) {
+        lengths.insert(to.to_path_buf(), length);
+    }
+}
+
+pub(crate) fn command(index: u64) -> LogEntry {
+    LogEntry {
+        term: 1,
+        index,
+        payload: EntryPayload::Command(format!("command {index}").into_bytes()),
+    }
+}
+
+pub(crate) fn append(index: u64) -> PersistWrite {
+    PersistWrite {
+        hard: Some(HardState {
+            term: index,
+            vote: Some(2),
+        }),
+        append: vec![command(index)],
+        ..PersistWrite::default()
+    }
+}
+
+pub(crate) fn snapshot(index: u64) -> PersistWrite {
+    PersistWrite {
+        snapshot: Some(LogSnapshot {
+            index,
+            term: 1,
+            admitted: vec![(1, 7)],
+            data: format!("state {index}").into_bytes(),
+        }),
+        ..PersistWrite::default()
+    }
+}
+
+/// Returns the path of a folder's only file with a prefix.
+pub(crate) fn only_file(folder: &Path, prefix: &str) -> PathBuf {
+    let mut paths: Vec<_> = fs::read_dir(folder)
+        .unwrap()
+        .map(|item| item.unwrap().path())
+        .filter(|path| {
+            path.file_name()
+                .unwrap()
+                .to_string_lossy()
+                .starts_with(prefix)
+        })
+        .collect();
+    assert_eq!(paths.len(), 1, "{paths:?}");
+    paths.pop().unwrap()
+}
