--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -74,8 +74,8 @@
             let holder = record.digest.clone();
             return TicketVerdict::Conflict { holder };
         }
-        if ticket.number < self.lowest {
-            let lowest = self.lowest;
+        let lowest = self.lowest_taken();
+        if ticket.number < lowest {
             return TicketVerdict::TooOld { lowest };
         }
         let verdict = self.judge(ticket, &digest);
@@ -90,6 +90,18 @@
         verdict
     }
 
+    /// Returns the lowest number that is still taken.
+    ///
+    /// Where the window is full, that is above the lowest number kept: a lower one would be dropped
+    /// as soon as it is kept, and its resending would get another verdict.
+    fn lowest_taken(&self) -> ids::TicketNumber {
+        if self.verdicts.len() < self.window {
+            return self.lowest;
+        }
+        let kept = self.verdicts.first_key_value().map_or(0, |(kept, _)| *kept);
+        self.lowest.max(kept)
+    }
+
     /// Judges a ticket with a new number against the state in force.
     fn judge(&self, ticket: &ChangeTicket, digest: &str) -> TicketVerdict {
         if let Some((key, by)) = self.state.superseding(ticket) {
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -41,6 +41,29 @@
     bytes: u64,
 }
 
+/// Records on their way to the log.
+#[derive(Debug, Default)]
+struct LogBuffer {
+    bytes: Vec<u8>,
+    last_index: ids::LogIndex,
+}
+
+impl LogBuffer {
+    fn add(&mut self, write: &PersistWrite) -> Result<()> {
+        if let Some(hard) = write.hard {
+            record::encode(&LogRecord::Hard(hard), &mut self.bytes)?;
+        }
+        if let Some(index) = write.truncate_from {
+            record::encode(&LogRecord::Truncate(index), &mut self.bytes)?;
+        }
+        for entry in &write.append {
+            record::encode(&LogRecord::Entry(entry.clone()), &mut self.bytes)?;
+            self.last_index = self.last_index.max(entry.index);
+        }
+        Ok(())
+    }
+}
+
 impl ReplicaStore {
     /// Size above which a new log file is begun, in bytes.
     pub const SEGMENT_BYTES: u64 = 16 << 20;
@@ -90,44 +113,47 @@
     ///
     /// Fails where the disk does, and for good from then on.
     pub fn write(&mut self, write: &PersistWrite) -> Result<()> {
+        self.write_group(std::slice::from_ref(write))
+    }
+
+    /// Writes several writes in order with as few syncs as possible; all are durable once this
+    /// returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the disk does, and for good from then on; some may be durable then.
+    pub fn write_group(&mut self, writes: &[PersistWrite]) -> Result<()> {
         if self.failed {
             return Err(StoreError::Closed);
         }
-        let result = self.write_all(write);
+        let result = self.write_all(writes);
         self.failed = result.is_err();
         result
     }
 
-    fn write_all(&mut self, write: &PersistWrite) -> Result<()> {
-        if let Some(snapshot) = &write.snapshot {
-            self.write_snapshot(snapshot)?;
-        }
-        let full = self
-            .segments
-            .last()
-            .is_some_and(|s| s.bytes > Self::SEGMENT_BYTES);
-        if full {
-            self.start_segment()?;
+    fn write_all(&mut self, writes: &[PersistWrite]) -> Result<()> {
+        let mut buffer = LogBuffer::default();
+        for write in writes {
+            if let Some(snapshot) = &write.snapshot {
+                self.flush(&mut buffer)?;
+                self.write_snapshot(snapshot)?;
+            }
+            buffer.add(write)?;
+            self.hard = write.hard.unwrap_or(self.hard);
         }
-        self.append_log(write)
+        self.flush(&mut buffer)
     }
 
-    fn append_log(&mut self, write: &PersistWrite) -> Result<()> {
-        let mut bytes = Vec::new();
-        if let Some(hard) = write.hard {
-            record::encode(&LogRecord::Hard(hard), &mut bytes)?;
-            self.hard = hard;
-        }
-        if let Some(index) = write.truncate_from {
-            record::encode(&LogRecord::Truncate(index), &mut bytes)?;
-        }
-        for entry in &write.append {
-            record::encode(&LogRecord::Entry(entry.clone()), &mut bytes)?;
-        }
+    /// Appends what is buffered to the log and syncs it.
+    fn flush(&mut self, buffer: &mut LogBuffer) -> Result<()> {
+        let LogBuffer { bytes, last_index } = std::mem::take(buffer);
         if bytes.is_empty() {
             return Ok(());
         }
-        let last_index = write.append.last().map_or(0, |entry| entry.index);
+        let full = |segment: &SegmentFile| segment.bytes > Self::SEGMENT_BYTES;
+        if self.segments.last().is_some_and(full) {
+            self.start_segment()?;
+        }
         self.append_segment(&bytes, last_index)
     }
 
