--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -20,7 +20,7 @@
     pub lease: Duration,
     /// Most entries in one message.
     pub batch: usize,
-    /// Seed of the election times.
+    /// Seed of the election times and of the numbers of greetings; another one at each start.
     pub seed: u64,
 }
 
--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -31,13 +31,15 @@
     },
 }
 
-/// Term and vote; synced before any message that depends on them.
+/// Term, vote and membership; synced before any message that depends on them.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
     /// Latest term seen.
     pub term: ids::Term,
     /// Replica that got this one's vote in that term.
     pub vote: Option<ids::ReplicaId>,
+    /// True once this replica knows that its incarnation is admitted; only then it votes.
+    pub member: bool,
 }
 
 /// The application's state after some entry, with the members of that time.
--- /dev/null
+++ b/crates/quorum/src/formation.rs
@@ -0,0 +1,194 @@
+//! The first set-up, when all replicas are blank.
+//!
+//! The lowest replica is the founder. Each blank replica binds itself to the founder's
+//! incarnation and says so; once all are bound, the founder writes their incarnations as the
+//! first entries, tells the others that they are admitted, and stands for election.
+//!
+//! A replica binds itself only on a greeting that repeats its latest number, and changes the
+//! number when it does. So it never goes back to an incarnation that it left, whatever messages
+//! are still on their way, and takes entries from the founder only under the one that it is
+//! bound to: no two founders can both succeed. Where any replica has state already, the founder
+//! never hears that all are bound, and a blank replica is one that lost its disk.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use crate::entry::{EntryPayload, LogEntry};
+use crate::ids;
+use crate::machine::QuorumMachine;
+use crate::message::{Message, MessageBody};
+use crate::writes::SyncNeed;
+
+/// What a blank replica knows of the first set-up.
+#[derive(Debug)]
+pub(crate) struct FormationState {
+    greeting_at: Instant,
+    /// Incarnation of the founder that this replica is bound to.
+    founder: Option<ids::Incarnation>,
+    /// Number that a founder must repeat to bind this replica.
+    nonce: u64,
+    /// Latest number of each other replica.
+    heard: BTreeMap<ids::ReplicaId, u64>,
+    /// What the founder heard: incarnation of each replica that is bound to it.
+    bound: BTreeMap<ids::ReplicaId, ids::Incarnation>,
+    /// Highest term of a greeting; a founder before this one may have led in it.
+    term: ids::Term,
+}
+
+impl FormationState {
+    /// Creates the state of a replica that greets the others at once.
+    pub(crate) fn new(now: Instant, nonce: u64) -> Self {
+        Self {
+            greeting_at: now,
+            founder: None,
+            nonce,
+            heard: BTreeMap::new(),
+            bound: BTreeMap::new(),
+            term: 0,
+        }
+    }
+
+    /// Returns when the next greeting is due.
+    pub(crate) fn greeting_at(&self) -> Instant {
+        self.greeting_at
+    }
+}
+
+impl QuorumMachine {
+    /// Term of the first entries.
+    const FIRST_TERM: ids::Term = 1;
+
+    fn is_founder(&self, replica: ids::ReplicaId) -> bool {
+        self.config.replicas.iter().min() == Some(&replica)
+    }
+
+    /// Returns whether this replica has nothing, or doesn't know whether it is admitted.
+    pub(crate) fn is_greeting(&self) -> bool {
+        self.is_blank() || (!self.is_member() && self.leader.is_none())
+    }
+
+    /// Greets the others when it is due.
+    pub(crate) fn tick_formation(&mut self) {
+        if self.now < self.formation.greeting_at {
+            return;
+        }
+        self.formation.greeting_at = self.now + self.config.heartbeat;
+        for peer in self.peers() {
+            self.greet(peer);
+        }
+        self.found();
+    }
+
+    fn greet(&mut self, to: ids::ReplicaId) {
+        let formation = &self.formation;
+        let body = MessageBody::Greeting {
+            founder: formation.founder,
+            nonce: formation.nonce,
+            echo: formation.heard.get(&to).copied().unwrap_or_default(),
+        };
+        self.send(SyncNeed::Nothing, to, body);
+    }
+
+    pub(crate) fn on_greeting(&mut self, from: ids::ReplicaId, message: &Message) {
+        let MessageBody::Greeting {
+            founder,
+            nonce,
+            echo,
+        } = message.body
+        else {
+            return;
+        };
+        self.formation.heard.insert(from, nonce);
+        if !self.is_blank() {
+            self.tell_admitted(from, message.incarnation);
+            if self.is_founder(self.config.id) {
+                self.greet(from);
+            }
+            return;
+        }
+        self.formation.term = self.formation.term.max(message.term);
+        if self.is_founder(from) && echo == self.formation.nonce {
+            self.bind(message.incarnation);
+        }
+        if founder == Some(self.incarnation) {
+            self.formation.bound.insert(from, message.incarnation);
+        } else {
+            self.formation.bound.remove(&from);
+        }
+        self.found();
+    }
+
+    /// Binds this blank replica to an incarnation of the founder that is alive.
+    fn bind(&mut self, founder: ids::Incarnation) {
+        if self.formation.founder != Some(founder) {
+            self.formation.founder = Some(founder);
+            self.formation.nonce = self.draw_nonce();
+        }
+    }
+
+    /// Writes the first entries once all others are bound to this founder.
+    fn found(&mut self) {
+        let all_bound = self.formation.bound.len() + 1 == self.config.replicas.len();
+        if !self.is_blank() || !all_bound || !self.is_founder(self.config.id) {
+            return;
+        }
+        let mut members = self.formation.bound.clone();
+        members.insert(self.config.id, self.incarnation);
+        for (index, (replica, incarnation)) in (1..).zip(members) {
+            let payload = EntryPayload::Admit {
+                replica,
+                incarnation,
+            };
+            self.append(LogEntry {
+                term: Self::FIRST_TERM,
+                index,
+                payload,
+            });
+        }
+        let term = self.formation.term.max(Self::FIRST_TERM);
+        self.follow(term, None);
+        self.become_member();
+        self.arm_election();
+        for (peer, incarnation) in self.formation.bound.clone() {
+            self.tell_admitted(peer, incarnation);
+        }
+    }
+
+    /// Tells a replica that its incarnation is admitted, where that is sure.
+    fn tell_admitted(&mut self, to: ids::ReplicaId, incarnation: ids::Incarnation) {
+        let committed = self.members_at(self.commit).get(&to) == Some(&incarnation);
+        if committed || self.is_first_member(to, incarnation) {
+            let body = MessageBody::Admitted { incarnation };
+            self.send(SyncNeed::Everything, to, body);
+        }
+    }
+
+    /// Returns whether the first entries admit an incarnation, where the log still holds them.
+    fn is_first_member(&self, replica: ids::ReplicaId, incarnation: ids::Incarnation) -> bool {
+        let admission = EntryPayload::Admit {
+            replica,
+            incarnation,
+        };
+        let first = self.log.slice(1, self.config.replicas.len());
+        first
+            .iter()
+            .any(|entry| entry.term == Self::FIRST_TERM && entry.payload == admission)
+    }
+
+    pub(crate) fn on_admitted(&mut self, incarnation: ids::Incarnation) {
+        if incarnation == self.incarnation {
+            self.become_member();
+        }
+    }
+
+    /// Returns whether a leader's message comes from a founder that this blank replica is not
+    /// bound to.
+    pub(crate) fn is_foreign_founder(
+        &self,
+        from: ids::ReplicaId,
+        incarnation: ids::Incarnation,
+    ) -> bool {
+        let bound = self.formation.founder == Some(incarnation);
+        self.is_blank() && self.is_founder(from) && !bound
+    }
+}
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -12,6 +12,8 @@
     pub term: ids::Term,
     /// Incarnation of the sender.
     pub incarnation: ids::Incarnation,
+    /// Whether the sender knows that its incarnation is admitted; others count for nothing.
+    pub member: bool,
     /// What it says.
     pub body: MessageBody,
 }
@@ -68,4 +70,18 @@
     },
     /// Asks the receiver to stand for election at once.
     HandOver,
+    /// Sent by a replica that has nothing, or doesn't know whether it is admitted.
+    Greeting {
+        /// Incarnation of the founder that the sender waits for, where it has heard from it.
+        founder: Option<ids::Incarnation>,
+        /// Number that an answer repeats, to show that it is no older than this greeting.
+        nonce: u64,
+        /// Latest number that the receiver sent; 0 where there is none.
+        echo: u64,
+    },
+    /// Tells a replica that its incarnation is admitted.
+    Admitted {
+        /// The incarnation.
+        incarnation: ids::Incarnation,
+    },
 }
--- /dev/null
+++ b/crates/quorum/tests/mutations.rs
@@ -0,0 +1,33 @@
+//! Each protection that is left out is found by the explorer.
+#![allow(
+    missing_docs,
+    unreachable_pub,
+    dead_code,
+    clippy::unwrap_used,
+    clippy::expect_used
+)]
+
+mod support;
+
+use quorum::fault::PlantedFault;
+use rstest::rstest;
+use support::explorer::explore;
+
+const MOST_SEEDS: u64 = 10_000;
+const STEPS: usize = 250;
+
+#[rstest]
+#[case(PlantedFault::VoteBeforeSync)]
+#[case(PlantedFault::BlankVotes)]
+#[case(PlantedFault::AnswerBeforeCommit)]
+#[case(PlantedFault::OldSnapshot)]
+#[case(PlantedFault::AckBeforeSync)]
+#[case(PlantedFault::ProposeWithoutLease)]
+fn a_planted_fault_is_found(#[case] fault: PlantedFault) {
+    let found = (0..MOST_SEEDS).find_map(|seed| {
+        let broken = explore(seed, STEPS, Some(fault)).err()?;
+        Some((seed, broken))
+    });
+    assert!(found.is_some(), "{fault} is not found");
+    println!("{fault}: {found:.120?}");
+}
