--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -13,6 +13,7 @@
 use crate::peers::PeerTable;
 use crate::settings::EntrySettings;
 use crate::standing::{HostStanding, StandingFacts};
+use crate::steering::HostSteering;
 
 /// What all parts of the process share.
 #[derive(Debug)]
@@ -25,6 +26,8 @@
     pub holder: Arc<StateHolder>,
     /// Announced backend servers.
     pub registry: Arc<BackendRegistry>,
+    /// Routes and look-ups.
+    pub steering: HostSteering,
     /// Metrics of the process.
     pub metrics: MetricRegistry,
     /// Number that grows with each start of the process.
@@ -53,6 +56,7 @@
             clock,
             holder: Arc::default(),
             registry: Arc::default(),
+            steering: HostSteering::new(),
             metrics,
             incarnation: start_number(),
             exchanges: ExchangeCounts::default(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,16 +12,22 @@
 //! | [`convert`] | wire messages to checked types and back |
 //! | [`leases`] | cap shares from the leading control replica |
 //! | [`polls`] | health and load of backend servers |
+//! | [`steering`] | routes and look-ups, made anew as state changes |
+//! | [`lookup`] | which entry hosts a caller should use |
+//! | [`dump`] | the whole state as JSON |
 //! | [`answers`] | what is answered besides forwarded requests |
 //! | [`host`] | start and planned stop |
 
 pub mod answers;
 pub mod context;
 pub mod convert;
+pub mod dump;
 pub mod exchange;
 pub mod host;
 pub mod leases;
+pub mod lookup;
 pub mod peers;
 pub mod polls;
 pub mod settings;
 pub mod standing;
+pub mod steering;
--- /dev/null
+++ b/crates/entry/src/steering.rs
@@ -0,0 +1,137 @@
+//! The routes and look-ups of this host, made anew as what is in force changes.
+
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use futures_util::future;
+use model::ids;
+use model::state::ForceState;
+use serde_json::{json, Value};
+use steer::lookup::{self, HostTarget};
+use steer::{LookupTable, RouteTable, TableBuilder};
+
+use crate::context::EntryContext;
+
+/// Longest time between two looks at which hosts are closed.
+pub const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The present routes and look-ups; requests read them without a lock.
+#[derive(Debug)]
+pub struct HostSteering {
+    routes: Arc<ArcSwap<RouteTable>>,
+    lookups: ArcSwap<LookupTable>,
+}
+
+impl HostSteering {
+    /// Creates the steering of a host that has no state yet.
+    pub fn new() -> Self {
+        let empty = LookupTable::new(&ForceState::default(), &BTreeSet::new());
+        Self {
+            routes: Arc::default(),
+            lookups: ArcSwap::from_pointee(empty),
+        }
+    }
+
+    /// Returns the routes, which change as what is in force does.
+    pub fn routes(&self) -> &Arc<ArcSwap<RouteTable>> {
+        &self.routes
+    }
+
+    /// Returns the entry hosts for a caller of a zone, in order.
+    pub fn hosts_by_zone(&self, zone: &str, caller: Option<IpAddr>) -> Vec<Arc<HostTarget>> {
+        let hash = caller.map_or(0, lookup::caller_hash);
+        self.lookups.load().by_zone(zone, hash)
+    }
+
+    /// Returns the entry hosts for a caller of an address, in order.
+    pub fn hosts_by_address(&self, caller: IpAddr) -> Vec<Arc<HostTarget>> {
+        self.lookups.load().by_address(caller)
+    }
+
+    /// Returns the routes for a state dump.
+    pub fn report(&self, now: Instant) -> Value {
+        let routes = self.routes.load();
+        let demand: Vec<_> = routes
+            .demand(now)
+            .into_iter()
+            .map(|place| json!({ "service": place.service, "zone": place.zone, "rate": place.rate }))
+            .collect();
+        json!({ "revision": routes.revision(), "demand": demand })
+    }
+
+    fn set_state(&self, now: Instant, own: (&str, &str), state: &ForceState) {
+        let previous = self.routes.load();
+        let table = TableBuilder::new(state, own.0, own.1)
+            .previous(&previous)
+            .build(now);
+        self.routes.store(Arc::new(table));
+    }
+}
+
+impl Default for HostSteering {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Follows what is in force and which hosts are closed, for as long as the process runs.
+pub async fn run(context: Arc<EntryContext>) {
+    let mut versions = context.holder.subscribe();
+    let mut follower = SteeringFollower::default();
+    loop {
+        versions.mark_unchanged();
+        follower.step(&context);
+        let changed = std::pin::pin!(versions.changed());
+        let timer = std::pin::pin!(context.clock.sleep(REFRESH_INTERVAL));
+        future::select(changed, timer).await;
+    }
+}
+
+/// What the routes and look-ups were last made from.
+#[derive(Debug, Default)]
+struct SteeringFollower {
+    state: Option<Arc<ForceState>>,
+    closed: BTreeSet<ids::HostName>,
+}
+
+impl SteeringFollower {
+    /// Makes anew what no longer fits what is in force or which hosts are closed.
+    fn step(&mut self, context: &EntryContext) {
+        let now = context.now();
+        let state = Arc::clone(&context.holder.view().state);
+        let closed = closed_hosts(context, now, &state);
+        context.registry.tick(now);
+        let known = self.state.as_ref();
+        let is_new = !known.is_some_and(|known| Arc::ptr_eq(known, &state));
+        if is_new {
+            let own = (&*context.settings.name, &*context.settings.zone);
+            context.registry.set_state(now, &state);
+            context.steering.set_state(now, own, &state);
+        }
+        let lookups = &context.steering.lookups;
+        if is_new {
+            lookups.store(Arc::new(LookupTable::new(&state, &closed)));
+        } else if closed != self.closed {
+            let next = lookups.load().with_hosts(&state, &closed);
+            lookups.store(Arc::new(next));
+        }
+        self.state = Some(state);
+        self.closed = closed;
+    }
+}
+
+/// Returns the hosts that callers should not be sent to, this one among them where it is closed.
+fn closed_hosts(
+    context: &EntryContext,
+    now: Instant,
+    state: &ForceState,
+) -> BTreeSet<ids::HostName> {
+    let mut closed = context.peers().closed(now, state);
+    if !context.standing().is_open() {
+        closed.insert(context.settings.name.clone());
+    }
+    closed
+}
