feat(forward): forward requests of callers to backend servers

Callers' connections and connections to backend servers are hyper http1 connections in async-std tasks. A failure says not-run only when no byte was written.

--- /dev/null
+++ b/crates/forward/src/forwarder.rs
@@ -0,0 +1,389 @@
+//! One request from its first attempt to its answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::future::{self, Either};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::{request, Request, Response, StatusCode, Uri};
+use hyper::body::Incoming;
+use model::ids;
+use model::outcome::{self, RefusalReason};
+use tokio::sync::oneshot;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::attempt::{self, AttemptEnd, AttemptPlan, AttemptRunner, ConnectionChoice, SentCount};
+use crate::body::{self, AnswerBody, ReadBody, RequestBody, StreamedUpload, UploadState};
+use crate::claimed::{ClaimEnd, ClaimOutcome, ClaimRequest, ClaimStep};
+use crate::edges::ClaimEdge;
+use crate::facts::{self, RequestFacts};
+use crate::headers;
+use crate::pool::PoolMap;
+use crate::refusal::RequestRefusal;
+use crate::routes::{RouteLease, RouteQuery, RouteTable};
+use crate::settings::ForwardSettings;
+
+type AnswerResult = Result<Response<AnswerBody>, RequestRefusal>;
+
+/// Forwards requests of callers to backend servers.
+pub struct RequestForwarder {
+    settings: ForwardSettings,
+    routes: Arc<RouteTable>,
+    claims: Arc<dyn ClaimEdge>,
+    pools: PoolMap,
+}
+
+/// A request that is being forwarded.
+struct ForwardRun {
+    facts: RequestFacts,
+    plan: AttemptPlan,
+    body: Option<RequestBody>,
+    upload: Option<Arc<UploadState>>,
+}
+
+impl ForwardRun {
+    /// Gives the body for an attempt; one that is passed on while it arrives goes only once.
+    fn take_body(&mut self) -> Option<RequestBody> {
+        match &self.body {
+            Some(RequestBody::Held(bytes)) => Some(RequestBody::Held(bytes.clone())),
+            _ => self.body.take(),
+        }
+    }
+
+    fn give_back(&mut self, body: RequestBody) {
+        self.body = Some(body);
+    }
+
+    fn query<'a>(&'a self, tried: &'a [SocketAddr]) -> RouteQuery<'a> {
+        RouteQuery {
+            service: &self.facts.service,
+            deadline: self.plan.due,
+            body_bytes: self.facts.body_bytes.unwrap_or(0),
+            idempotent: self.facts.idempotent,
+            tried,
+        }
+    }
+
+    /// Says that no attempt brought a whole answer.
+    fn failure(&self) -> RequestRefusal {
+        if self
+            .upload
+            .as_ref()
+            .is_some_and(|upload| upload.is_too_large())
+        {
+            return facts::too_large().after_sending(self.plan.sent.is_sent());
+        }
+        if self.plan.sent.is_sent() {
+            return RequestRefusal::unknown(
+                StatusCode::BAD_GATEWAY,
+                RefusalReason::BackendFailed,
+                "the backend server's answer was cut, malformed or never came",
+            );
+        }
+        RequestRefusal::no_room(
+            RefusalReason::BackendFailed,
+            attempt::RETRY_AFTER,
+            "no backend server could be reached",
+        )
+    }
+
+    /// Says that the deadline passed.
+    fn late(&self) -> RequestRefusal {
+        late(&self.plan.sent)
+    }
+
+    fn claim(&self) -> Option<ClaimRequest> {
+        let key = self.facts.key.clone().filter(|_| !self.facts.idempotent)?;
+        Some(ClaimRequest {
+            service: self.facts.service.clone(),
+            key,
+            digest: self.digest(),
+        })
+    }
+
+    /// Digests the method, the path and the body, or its length where it is not held.
+    fn digest(&self) -> ids::Digest {
+        let mut hash = Xxh3::new();
+        hash.update(self.plan.method.as_str().as_bytes());
+        hash.update(self.plan.target.to_string().as_bytes());
+        match &self.body {
+            Some(RequestBody::Held(bytes)) => hash.update(bytes),
+            _ => hash.update(&self.facts.body_bytes.unwrap_or(u64::MAX).to_be_bytes()),
+        }
+        hash.digest()
+    }
+}
+
+impl RequestForwarder {
+    /// Creates a forwarder.
+    pub fn new(
+        settings: ForwardSettings,
+        routes: Arc<RouteTable>,
+        claims: Arc<dyn ClaimEdge>,
+    ) -> Self {
+        Self {
+            settings,
+            routes,
+            claims,
+            pools: PoolMap::default(),
+        }
+    }
+
+    /// Returns the bounds and times.
+    pub fn settings(&self) -> &ForwardSettings {
+        &self.settings
+    }
+
+    /// Returns the number of open connections to each backend server.
+    pub fn open_connections(&self) -> Vec<(SocketAddr, usize)> {
+        self.pools.open_counts()
+    }
+
+    /// Closes the connections to backend servers that were idle for too long.
+    pub fn close_idle(&self, now: Instant) {
+        self.pools.close_idle(now, self.settings.idle_limit);
+    }
+
+    /// Forwards a request and gives its answer, or the refusal that its caller is told.
+    pub async fn forward(self: &Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let (parts, incoming) = request.into_parts();
+        let (id, result) = match facts::read_request_id(&parts.headers) {
+            Ok(id) => {
+                let result = self.answer(parts, incoming, &id).await;
+                (id, result)
+            }
+            Err(refusal) => (facts::make_request_id(), Err(refusal)),
+        };
+        let mut response = result.unwrap_or_else(|refusal| refusal.to_response().map(Into::into));
+        let name = HeaderName::from_static(outcome::REQUEST_ID_HEADER);
+        response.headers_mut().insert(name, id);
+        response
+    }
+
+    async fn answer(
+        self: &Arc<Self>,
+        parts: request::Parts,
+        incoming: Incoming,
+        id: &HeaderValue,
+    ) -> AnswerResult {
+        let facts = RequestFacts::read(&parts, id, &self.settings)?;
+        let due = Instant::now() + facts.allowed;
+        let reading = self.read_body(&facts, incoming);
+        let Ok(body) = tokio::time::timeout_at(due.into(), reading).await else {
+            return Err(late(&SentCount::default()));
+        };
+        let run = self.start_run(parts, facts, body?, due)?;
+        match run.claim() {
+            Some(claim) => self.clone().answer_claimed(run, claim).await,
+            None => self.answer_in_time(run).await,
+        }
+    }
+
+    /// Holds a body up to the bound, or passes it on while it arrives.
+    async fn read_body(
+        &self,
+        facts: &RequestFacts,
+        mut incoming: Incoming,
+    ) -> Result<RequestBody, RequestRefusal> {
+        let bound = self.settings.hold_bytes as u64;
+        let start = match facts.body_bytes {
+            Some(0) => return Ok(RequestBody::Held(Bytes::new())),
+            Some(bytes) if bytes > bound => ReadBody::Start(Bytes::new()),
+            _ => body::read_up_to(&mut incoming, self.settings.hold_bytes)
+                .await
+                .map_err(|_| RequestRefusal::malformed("the request's body was cut"))?,
+        };
+        Ok(match start {
+            ReadBody::Whole(bytes) => RequestBody::Held(bytes),
+            ReadBody::Start(start) => {
+                let limit = self.settings.max_body_bytes;
+                RequestBody::Streamed(StreamedUpload::new(start, incoming, limit))
+            }
+        })
+    }
+
+    fn start_run(
+        &self,
+        parts: request::Parts,
+        facts: RequestFacts,
+        body: RequestBody,
+        due: Instant,
+    ) -> Result<ForwardRun, RequestRefusal> {
+        let upload = match &body {
+            RequestBody::Held(_) => None,
+            RequestBody::Streamed(upload) => Some(upload.state()),
+        };
+        let plan = AttemptPlan {
+            target: target_of(&parts.uri)?,
+            headers: headers_to_pass_on(parts.headers, &parts.uri, &facts),
+            method: parts.method,
+            request_id: facts.request_id.clone(),
+            due,
+            sent: SentCount::default(),
+        };
+        Ok(ForwardRun {
+            facts,
+            plan,
+            body: Some(body),
+            upload,
+        })
+    }
+
+    /// Runs under a key in a task of its own, so that it ends also when its caller leaves.
+    async fn answer_claimed(self: Arc<Self>, run: ForwardRun, claim: ClaimRequest) -> AnswerResult {
+        let sent = run.plan.sent.clone();
+        let due = run.plan.due;
+        let (sender, receiver) = oneshot::channel();
+        async_std::task::spawn(async move {
+            let claiming = self.claims.claim(claim.clone());
+            let outcome = tokio::time::timeout_at(due.into(), claiming).await;
+            let outcome = outcome.unwrap_or(ClaimOutcome::Unconfirmed);
+            let attempt = match ClaimStep::from(outcome) {
+                ClaimStep::Run { attempt } => attempt,
+                ClaimStep::Replay(answer) => {
+                    let _ = sender.send(Ok(answer.to_response()));
+                    return;
+                }
+                ClaimStep::Refuse(refusal) => {
+                    let _ = sender.send(Err(refusal));
+                    return;
+                }
+            };
+            let result = self.answer_in_time(run).await;
+            let end = ClaimEnd::of(&result, self.settings.kept_answer_bytes);
+            let _ = sender.send(result);
+            self.claims.complete(claim, attempt, end).await;
+        });
+        receiver.await.unwrap_or_else(|_| Err(late(&sent)))
+    }
+
+    /// Runs a request, and gives up on it when its deadline passes.
+    async fn answer_in_time(&self, mut run: ForwardRun) -> AnswerResult {
+        let due = run.plan.due;
+        if Instant::now() >= due {
+            return Err(run.late());
+        }
+        let sent = run.plan.sent.clone();
+        match tokio::time::timeout_at(due.into(), self.run(&mut run)).await {
+            Ok(result) => result,
+            Err(_) => Err(late(&sent)),
+        }
+    }
+
+    async fn run(&self, run: &mut ForwardRun) -> AnswerResult {
+        let mut tried = Vec::new();
+        for number in 0..self.settings.max_attempts {
+            let Some(body) = run.take_body() else {
+                break;
+            };
+            let lease = match self.routes.choose(Instant::now(), &run.query(&tried)) {
+                Ok(lease) => lease,
+                Err(refusal) if number == 0 => return Err(refusal),
+                Err(_) => break,
+            };
+            tried.push(lease.address);
+            let again = match self.attempt(run, lease, body, &mut tried).await {
+                AttemptEnd::Answered(response) => return Ok(*response),
+                AttemptEnd::NotSent(body) | AttemptEnd::Full(body) => {
+                    run.give_back(body);
+                    true
+                }
+                AttemptEnd::Shed => self.allow_retry(run),
+                AttemptEnd::Broken => run.facts.idempotent && self.allow_retry(run),
+            };
+            if !again {
+                break;
+            }
+        }
+        Err(run.failure())
+    }
+
+    fn allow_retry(&self, run: &ForwardRun) -> bool {
+        matches!(run.body, Some(RequestBody::Held(_)))
+            && self.routes.allow_retry(Instant::now(), &run.facts.service)
+    }
+
+    /// Makes one attempt, and a second one beside it where the first is slow.
+    async fn attempt(
+        &self,
+        run: &ForwardRun,
+        lease: RouteLease,
+        body: RequestBody,
+        tried: &mut Vec<SocketAddr>,
+    ) -> AttemptEnd {
+        let runner = AttemptRunner {
+            settings: &self.settings,
+            pools: &self.pools,
+            plan: &run.plan,
+        };
+        if !run.facts.idempotent {
+            return runner.run(lease, ConnectionChoice::Fresh, body).await;
+        }
+        let RequestBody::Held(bytes) = &body else {
+            return runner.run(lease, ConnectionChoice::AnyOpen, body).await;
+        };
+        let copy = RequestBody::Held(bytes.clone());
+        let first = Box::pin(runner.run(lease, ConnectionChoice::AnyOpen, body));
+        let delay = Box::pin(tokio::time::sleep(self.settings.hedge_delay));
+        let first = match future::select(first, delay).await {
+            Either::Left((end, _)) => return end,
+            Either::Right(((), first)) => first,
+        };
+        let Some(lease) = self.hedge_lease(run, tried) else {
+            return first.await;
+        };
+        tried.push(lease.address);
+        let second = Box::pin(runner.run(lease, ConnectionChoice::New, copy));
+        let end = match future::select(first, second).await {
+            Either::Left((end @ AttemptEnd::Answered(_), _))
+            | Either::Right((end @ AttemptEnd::Answered(_), _)) => end,
+            Either::Left((_, other)) => other.await,
+            Either::Right((_, other)) => other.await,
+        };
+        end
+    }
+
+    fn hedge_lease(&self, run: &ForwardRun, tried: &[SocketAddr]) -> Option<RouteLease> {
+        let now = Instant::now();
+        let lease = self.routes.choose(now, &run.query(tried)).ok()?;
+        self.routes
+            .allow_hedge(now, &run.facts.service)
+            .then_some(lease)
+    }
+}
+
+/// Says that the deadline of a request passed.
+fn late(sent: &SentCount) -> RequestRefusal {
+    let message = "the request can't be answered before its deadline";
+    if sent.is_sent() {
+        let status = StatusCode::GATEWAY_TIMEOUT;
+        return RequestRefusal::unknown(status, RefusalReason::DeadlineExceeded, message);
+    }
+    RequestRefusal::no_room(RefusalReason::DeadlineExceeded, LATE_RETRY_AFTER, message)
+}
+
+/// Time after which to come back with a longer deadline.
+const LATE_RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Returns the path and query of a request's target.
+fn target_of(uri: &Uri) -> Result<Uri, RequestRefusal> {
+    let target = uri.path_and_query().map_or("/", |target| target.as_str());
+    Uri::try_from(target).map_err(|_| RequestRefusal::malformed("the path is malformed"))
+}
+
+/// Returns the headers of a request that are passed on.
+fn headers_to_pass_on(mut headers: HeaderMap, uri: &Uri, facts: &RequestFacts) -> HeaderMap {
+    headers::remove_hop_by_hop(&mut headers);
+    headers::remove_system_only(&mut headers);
+    headers.remove(header::EXPECT);
+    if let Some(authority) = uri.authority() {
+        if let Ok(host) = HeaderValue::from_str(authority.as_str()) {
+            headers.insert(header::HOST, host);
+        }
+    }
+    let id = HeaderName::from_static(outcome::REQUEST_ID_HEADER);
+    headers.insert(id, facts.request_id.clone());
+    headers
+}
