--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -41,6 +41,8 @@
     plan: AttemptPlan,
     body: Option<RequestBody>,
     upload: Option<Arc<UploadState>>,
+    /// Why the last attempt brought no answer.
+    reason: RefusalReason,
 }
 
 impl ForwardRun {
@@ -52,8 +54,9 @@
         }
     }
 
-    fn give_back(&mut self, body: RequestBody) {
+    fn give_back(&mut self, body: RequestBody, reason: RefusalReason) {
         self.body = Some(body);
+        self.reason = reason;
     }
 
     fn query<'a>(&'a self, tried: &'a [SocketAddr]) -> RouteQuery<'a> {
@@ -82,11 +85,11 @@
                 "the backend server's answer was cut, malformed or never came",
             );
         }
-        RequestRefusal::no_room(
-            RefusalReason::BackendFailed,
-            attempt::RETRY_AFTER,
-            "no backend server could be reached",
-        )
+        let message = match self.reason {
+            RefusalReason::Overloaded => "backend servers are at their limits",
+            _ => "no backend server could be reached",
+        };
+        RequestRefusal::no_room(self.reason, attempt::RETRY_AFTER, message)
     }
 
     /// Says that the deadline passed.
@@ -228,6 +231,7 @@
             plan,
             body: Some(body),
             upload,
+            reason: RefusalReason::BackendFailed,
         })
     }
 
@@ -286,11 +290,18 @@
             tried.push(lease.address);
             let again = match self.attempt(run, lease, body, &mut tried).await {
                 AttemptEnd::Answered(response) => return Ok(*response),
-                AttemptEnd::NotSent(body) | AttemptEnd::Full(body) => {
-                    run.give_back(body);
+                AttemptEnd::NotSent(body) => {
+                    run.give_back(body, RefusalReason::BackendFailed);
+                    true
+                }
+                AttemptEnd::Full(body) => {
+                    run.give_back(body, RefusalReason::Overloaded);
                     true
                 }
-                AttemptEnd::Shed => self.allow_retry(run),
+                AttemptEnd::Shed => {
+                    run.reason = RefusalReason::Overloaded;
+                    self.allow_retry(run)
+                }
                 AttemptEnd::Broken => run.facts.idempotent && self.allow_retry(run),
             };
             if !again {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,3 +31,4 @@
 mod attempt;
 mod connection;
 mod pool;
+mod tap;
--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::future::{self, Either, FutureExt};
-use http::header::{HeaderValue, CONNECTION};
+use http::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -26,6 +26,7 @@
 use crate::forwarder::RequestForwarder;
 use crate::refusal::RequestRefusal;
 use crate::settings::ForwardSettings;
+use crate::tap::{HeadTap, TappedStream};
 
 /// Time in which a stopping server still takes requests on open connections, so that one that is
 /// on its way is answered rather than cut.
@@ -155,9 +156,11 @@
     ) {
         let _ = stream.set_nodelay(true);
         let mut phase = self.phase.subscribe();
-        let service = service_fn(|request| Box::pin(self.serve_request(request, peer)));
-        let mut connection = server_builder(self.forwarder.settings())
-            .serve_connection(TokioIo::new(stream), service);
+        let settings = self.forwarder.settings();
+        let tap = HeadTap::new(settings.max_head_bytes);
+        let service = service_fn(|request| Box::pin(self.serve_request(request, peer, &tap)));
+        let io = TokioIo::new(TappedStream::new(stream, tap.clone()));
+        let mut connection = server_builder(settings).serve_connection(io, service);
         let closed = Box::pin(wait_closed(&mut phase));
         let serving = future::poll_fn(|cx| connection.poll_without_shutdown(cx));
         let ended = match future::select(serving, closed).await {
@@ -174,7 +177,8 @@
         if let Err(err) = ended {
             log::debug!(target: "forward", "{peer}: {err}");
         }
-        linger(connection.into_parts().io.into_inner()).await;
+        let io = connection.into_parts().io;
+        linger(io.into_inner().into_inner()).await;
         drop(permit);
     }
 
@@ -182,8 +186,13 @@
         &self,
         request: Request<Incoming>,
         peer: SocketAddr,
+        tap: &HeadTap,
     ) -> Result<Response<AnswerBody>, Infallible> {
-        let mut response = if request.uri().path().starts_with(facts::SERVICE_PREFIX) {
+        tap.pause();
+        let chunked = request.headers().contains_key(TRANSFER_ENCODING);
+        let mut response = if chunked && !tap.is_chunked_only(request.method().as_str()) {
+            refuse_framing()
+        } else if request.uri().path().starts_with(facts::SERVICE_PREFIX) {
             self.forwarder.forward(request).await
         } else {
             self.answer_other(request, peer).await.map(Into::into)
@@ -192,6 +201,7 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
+        tap.restart();
         Ok(response)
     }
 
@@ -210,6 +220,18 @@
     }
 }
 
+/// Refuses a request whose end can be read in two ways, and closes its connection.
+fn refuse_framing() -> Response<AnswerBody> {
+    let refusal = RequestRefusal::malformed(
+        "a request has content-length or transfer-encoding, not both, and a chunked one isn't \
+         sent before the answer to the one before it",
+    );
+    let mut response = refusal.to_response().map(AnswerBody::from);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// Waits until connections without a request are to be closed.
 async fn wait_closed(phase: &mut watch::Receiver<ServerPhase>) {
     let _ = phase
--- /dev/null
+++ b/crates/forward/tests/planned_stop.rs
@@ -0,0 +1,66 @@
+//! A planned stop cuts nothing.
+
+#![allow(missing_docs, clippy::unwrap_used, clippy::expect_used)]
+
+mod support;
+
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use support::{get, ok, say, wait_until, Act, FakeBackend, Rig};
+
+fn stop(rig: &Rig) -> thread::JoinHandle<usize> {
+    let server = rig.server.clone();
+    thread::spawn(move || async_std::task::block_on(server.stop(Duration::from_secs(5))).left)
+}
+
+#[test]
+fn request_in_flight_is_answered_whole() {
+    let body = "y".repeat(1 << 20);
+    let backend = FakeBackend::start(vec![Act::SayLater(700, ok(&body))]);
+    let rig = Rig::start(&[&backend]);
+    let mut caller = rig.caller();
+    caller.write(get("/s/svc/a").as_bytes());
+    assert!(wait_until(|| backend.runs() == 1));
+    let stopping = stop(&rig);
+    let answer = caller.answer(false).unwrap();
+    assert!(answer.whole);
+    assert_eq!(answer.header("connection"), "close");
+    assert_eq!(stopping.join().unwrap(), 0);
+}
+
+#[test]
+fn request_on_its_way_while_the_stop_begins_is_answered() {
+    let backend = FakeBackend::start(vec![say(&ok("x"))]);
+    let rig = Rig::start(&[&backend]);
+    let mut caller = rig.caller();
+    caller.ask(&get("/s/svc/a")).unwrap();
+    let stopping = stop(&rig);
+    thread::sleep(Duration::from_millis(100));
+    let answer = caller.ask(&get("/s/svc/a")).unwrap();
+    assert_eq!(
+        (answer.text().as_str(), answer.header("connection").as_str()),
+        ("x", "close")
+    );
+    assert!(caller.is_closed());
+    assert_eq!(stopping.join().unwrap(), 0);
+}
+
+#[test]
+fn idle_connection_closes_and_no_new_one_is_taken() {
+    let rig = Rig::start(&[]);
+    let mut caller = rig.caller();
+    caller.ask(&get("/health")).unwrap();
+    let start = Instant::now();
+    let stopping = stop(&rig);
+    assert!(caller.is_closed());
+    drop(caller);
+    assert_eq!(stopping.join().unwrap(), 0);
+    assert!(
+        start.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        start.elapsed()
+    );
+    assert!(TcpStream::connect(rig.address).is_err());
+}
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -35,6 +35,8 @@
     SayAndClose(String),
     SayLater(u64, String),
     Hang,
+    /// Answers, and says something more after some milliseconds.
+    Split(String, u64, String),
     /// Answers after the head, before the body is read.
     SayEarly(String),
     /// Closes each new connection before reading.
@@ -156,6 +158,11 @@
                 thread::sleep(Duration::from_millis(ms));
                 let _ = stream.write_all(text.as_bytes());
             }
+            Act::Split(text, ms, more) => {
+                stream.write_all(text.as_bytes()).unwrap();
+                thread::sleep(Duration::from_millis(ms));
+                let _ = stream.write_all(more.as_bytes());
+            }
             Act::Hang => {
                 let _ = stream.read(&mut [0; 1]);
                 return;
@@ -386,9 +393,11 @@
     }
 
     pub fn at(backends: &[SocketAddr], adjust: impl Fn(&mut ForwardSettings)) -> Self {
-        let mut settings = ForwardSettings::default();
-        settings.default_deadline = Duration::from_secs(2);
-        settings.hedge_delay = Duration::from_secs(1);
+        let mut settings = ForwardSettings {
+            default_deadline: Duration::from_secs(2),
+            hedge_delay: Duration::from_secs(1),
+            ..ForwardSettings::default()
+        };
         adjust(&mut settings);
         let routes = FixedRoutes::default();
         routes.set("svc", backends, 8);
