feat(control): control replica daemon with operator, replica and share interfaces

Followers pass tickets and confirmations on to the leader, so that every replica gives the same verdict; the leader's freshness stamp goes along with the messages of the log.

store: a log that lost its end after it was synced looked like a torn tail, and the replica went on without entries that it had acknowledged; after one more loss a ticket could be gone. Seen as a replica that never caught up in the first run of accepted_tickets_survive with a cut log. The length synced last is now kept beside the log, and a shorter log stops the start.

--- /dev/null
+++ b/crates/control/src/operator/tickets.rs
@@ -0,0 +1,125 @@
+//! Submitting tickets and reading verdicts.
+
+use model::fault::InputFault;
+use model::ids;
+use model::raw::RawTicket;
+use model::ticket::ChangeTicket;
+use serde::Deserialize;
+use tide::{Request, StatusCode};
+
+use crate::call::CoreCall;
+use crate::operator::answers;
+use crate::operator::routes::OperatorContext;
+
+/// Most verdicts in one answer.
+const MAX_LIMIT: usize = 1_000;
+
+/// Verdicts in one answer where no limit is given.
+const DEFAULT_LIMIT: usize = 100;
+
+/// Answers `PUT /v1/tickets/{number}`.
+pub(crate) async fn submit(mut request: Request<OperatorContext>) -> tide::Result {
+    let body = request.body_bytes().await?;
+    let ticket = match read_ticket(&request, &body) {
+        Ok(ticket) => ticket,
+        Err(faults) => return Ok(answers::json_answer(StatusCode::BadRequest, &faults)),
+    };
+    let verdict = request.state().caller.submit(&ticket).await;
+    Ok(answers::verdict_answer(verdict.as_ref()))
+}
+
+/// Answers `GET /v1/tickets/{number}`.
+pub(crate) async fn show(request: Request<OperatorContext>) -> tide::Result {
+    let number = match path_number(&request) {
+        Ok(number) => number,
+        Err(fault) => return Ok(answers::json_answer(StatusCode::BadRequest, &[fault])),
+    };
+    let context = request.state();
+    if !context.caller.confirm().await {
+        return Ok(answers::unconfirmed());
+    }
+    let call = |reply| CoreCall::Ticket { number, reply };
+    Ok(match context.core.ask(call).await {
+        Some(Some(ticket)) => answers::json_answer(StatusCode::Ok, &ticket),
+        Some(None) => answers::refusal(StatusCode::NotFound, "no verdict on this number is kept"),
+        None => answers::unconfirmed(),
+    })
+}
+
+/// Answers `GET /v1/tickets`.
+pub(crate) async fn list(request: Request<OperatorContext>) -> tide::Result {
+    let limit = match query_limit(&request) {
+        Ok(limit) => limit,
+        Err(fault) => return Ok(answers::json_answer(StatusCode::BadRequest, &[fault])),
+    };
+    let context = request.state();
+    if !context.caller.confirm().await {
+        return Ok(answers::unconfirmed());
+    }
+    let call = |reply| CoreCall::Tickets { limit, reply };
+    Ok(match context.core.ask(call).await {
+        Some(tickets) => answers::json_answer(StatusCode::Ok, &tickets),
+        None => answers::unconfirmed(),
+    })
+}
+
+fn read_ticket(
+    request: &Request<OperatorContext>,
+    body: &[u8],
+) -> Result<ChangeTicket, Vec<InputFault>> {
+    let number = path_number(request).map_err(|fault| vec![fault])?;
+    let toml = request
+        .content_type()
+        .is_some_and(|mime| mime.essence() == "application/toml");
+    let raw = if toml {
+        let text = std::str::from_utf8(body)
+            .map_err(|e| vec![InputFault::new("ticket", e, "a ticket in TOML, in UTF-8")])?;
+        RawTicket::from_toml(text)
+    } else {
+        RawTicket::from_json(body)
+    };
+    let raw = raw.map_err(|fault| vec![fault])?;
+    let mut faults = Vec::new();
+    if raw.number != number {
+        let allowed = format!("the number in the path, {number}");
+        faults.push(InputFault::new("number", raw.number, allowed));
+    }
+    match ChangeTicket::try_from(raw) {
+        Ok(ticket) if faults.is_empty() => Ok(ticket),
+        Ok(_) => Err(faults),
+        Err(more) => {
+            faults.extend(more);
+            Err(faults)
+        }
+    }
+}
+
+fn path_number(request: &Request<OperatorContext>) -> Result<ids::TicketNumber, InputFault> {
+    let text = request.param("number").unwrap_or_default();
+    match text.parse() {
+        Ok(number) if number > 0 => Ok(number),
+        _ => Err(InputFault::new(
+            "path",
+            text,
+            "the number of a ticket, from 1",
+        )),
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct ListQuery {
+    limit: Option<usize>,
+}
+
+fn query_limit(request: &Request<OperatorContext>) -> Result<usize, InputFault> {
+    let fault = || {
+        let query = request.url().query().unwrap_or_default();
+        InputFault::new("limit", query, format!("limit=1 to limit={MAX_LIMIT}"))
+    };
+    let query: ListQuery = request.query().map_err(|_| fault())?;
+    let limit = query.limit.unwrap_or(DEFAULT_LIMIT);
+    if (1..=MAX_LIMIT).contains(&limit) {
+        return Ok(limit);
+    }
+    Err(fault())
+}
--- /dev/null
+++ b/crates/control/src/operator/views.rs
@@ -0,0 +1,85 @@
+//! What is in force, status, dump, health.
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use tide::{Request, Response, StatusCode};
+
+use crate::call::CoreCall;
+use crate::operator::answers;
+use crate::operator::routes::OperatorContext;
+
+/// Age of the leader's stamp up to which the replica is ready.
+const READY_AGE: Duration = Duration::from_secs(2);
+
+/// Answers `GET /v1/state`.
+pub(crate) async fn state(request: Request<OperatorContext>) -> tide::Result {
+    let context = request.state();
+    if !context.caller.confirm().await {
+        return Ok(answers::unconfirmed());
+    }
+    let view = context.holder.view();
+    Ok(answers::json_answer(StatusCode::Ok, &*view.state))
+}
+
+/// Answers `GET /v1/status` from this replica alone.
+pub(crate) async fn status(request: Request<OperatorContext>) -> tide::Result {
+    Ok(match request.state().core.ask(CoreCall::Status).await {
+        Some(status) => answers::json_answer(StatusCode::Ok, &status),
+        None => answers::unconfirmed(),
+    })
+}
+
+/// Answers `GET /v1/dump`.
+pub(crate) async fn dump(request: Request<OperatorContext>) -> tide::Result {
+    let context = request.state();
+    let Some(core) = context.core.ask(CoreCall::Dump).await else {
+        return Ok(answers::unconfirmed());
+    };
+    let view = context.holder.view();
+    let body = json!({
+        "program": "wisteria-control",
+        "version": env!("CARGO_PKG_VERSION"),
+        "core": core,
+        "messages_dropped": context.peers.dropped(),
+        "feed": {
+            "revision": view.state.revision,
+            "digest": view.state.digest,
+            "stamp": view.stamp(),
+            "stamp_age_ms": view.beat_age(Instant::now()).map(|age| age.as_millis()),
+        },
+    });
+    Ok(answers::json_answer(StatusCode::Ok, &body))
+}
+
+/// Answers `GET /metrics`.
+pub(crate) async fn metrics(request: Request<OperatorContext>) -> tide::Result {
+    Ok(match request.state().registry.text() {
+        Ok(text) => Response::builder(StatusCode::Ok)
+            .body(text)
+            .content_type("text/plain; version=0.0.4")
+            .build(),
+        Err(e) => answers::refusal(StatusCode::InternalServerError, &e.to_string()),
+    })
+}
+
+/// Answers `GET /health`: the process answers.
+pub(crate) async fn health(_request: Request<OperatorContext>) -> tide::Result {
+    Ok(answers::json_answer(
+        StatusCode::Ok,
+        &json!({ "health": "ok" }),
+    ))
+}
+
+/// Answers `GET /ready`: a quorum answered the leader lately, as far as this replica knows.
+pub(crate) async fn ready(request: Request<OperatorContext>) -> tide::Result {
+    let age = request.state().holder.view().beat_age(Instant::now());
+    if age.is_some_and(|age| age < READY_AGE) {
+        return Ok(answers::json_answer(
+            StatusCode::Ok,
+            &json!({ "ready": true }),
+        ));
+    }
+    let reason = "no leader with a quorum was heard lately";
+    Ok(answers::refusal(StatusCode::ServiceUnavailable, reason))
+}
--- /dev/null
+++ b/crates/control/src/shares.rs
@@ -0,0 +1,188 @@
+//! Cap shares that the leader grants to entry hosts for a short time.
+//!
+//! Half of a place's cap is a fixed floor that the entry hosts divide equally by themselves. The
+//! other half is granted here, in proportion to reported demand.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use model::ids;
+use model::state::{self, ForceState};
+use serde::Serialize;
+
+/// Names a place: a service in an availability zone.
+pub type PlaceKey = (ids::ServiceName, ids::ZoneName);
+
+/// Requests a second by place.
+pub type PlaceRates = BTreeMap<PlaceKey, f64>;
+
+/// Grants the second half of each place's cap.
+///
+/// The sum of all unexpired grants of a place never rises above half of its cap. Where a ticket
+/// lowers the cap below what is granted, nothing more is granted until enough has expired, which
+/// takes at most [`ShareTable::TTL`].
+#[derive(Debug)]
+pub struct ShareTable {
+    grants_from: Option<Instant>,
+    places: BTreeMap<PlaceKey, BTreeMap<ids::HostName, HostShare>>,
+}
+
+/// What one entry host wants and holds of one place.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct HostShare {
+    /// Requests a second that it last reported.
+    demand: f64,
+    #[serde(skip)]
+    reported_at: Option<Instant>,
+    /// Grants that are not expired; a host may use any one of them, as an answer may be lost.
+    grants: Vec<ShareGrant>,
+}
+
+/// One grant.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct ShareGrant {
+    /// Requests a second.
+    rate: f64,
+    #[serde(skip)]
+    until: Instant,
+}
+
+impl ShareTable {
+    /// Time to live of a grant. A host counts it from when it sent its request.
+    pub const TTL: Duration = Duration::from_secs(2);
+
+    /// Part of a cap that is granted.
+    pub const GRANTED_PART: f64 = 0.5;
+
+    /// Most demand of one host that is believed, in requests a second.
+    pub const MAX_DEMAND: f64 = 1e9;
+
+    /// Creates a table that grants nothing yet.
+    pub fn new() -> Self {
+        Self {
+            grants_from: None,
+            places: BTreeMap::new(),
+        }
+    }
+
+    /// Starts granting after one time to live, when all that an earlier leader granted has expired.
+    pub fn start(&mut self, now: Instant) {
+        self.places.clear();
+        self.grants_from = Some(now + Self::TTL);
+    }
+
+    /// Stops granting.
+    pub fn stop(&mut self) {
+        self.grants_from = None;
+        self.places.clear();
+    }
+
+    /// Takes a host's demand and grants its shares.
+    ///
+    /// Places and hosts that are not in force get nothing.
+    pub fn lease(
+        &mut self,
+        now: Instant,
+        force: &ForceState,
+        host: &str,
+        demand: &PlaceRates,
+    ) -> PlaceRates {
+        let mut shares = PlaceRates::new();
+        if self.grants_from.is_none_or(|from| now < from) {
+            return shares;
+        }
+        self.expire(now);
+        if state::live(&force.hosts).all(|(name, _)| name != host) {
+            return shares;
+        }
+        for (service, spec) in state::live(&force.services) {
+            for (zone, place) in &spec.places {
+                let key = (service.to_string(), zone.clone());
+                let wanted = demand.get(&key).copied().unwrap_or(0.0);
+                let granted = place.cap * Self::GRANTED_PART;
+                let rate = self.grant(now, granted, &key, host, wanted);
+                shares.insert(key, rate);
+            }
+        }
+        shares
+    }
+
+    /// Returns the sum of what hosts may use of a place by unexpired grants.
+    pub fn granted(&self, now: Instant, key: &PlaceKey) -> f64 {
+        let hosts = self.places.get(key).into_iter().flatten();
+        hosts.map(|(_, share)| share.most(now)).sum()
+    }
+
+    /// Returns what each host wants and holds, for a dump.
+    pub fn report(&self) -> BTreeMap<String, BTreeMap<ids::HostName, HostShare>> {
+        self.places
+            .iter()
+            .map(|((service, zone), hosts)| (format!("{service}/{zone}"), hosts.clone()))
+            .collect()
+    }
+
+    fn grant(
+        &mut self,
+        now: Instant,
+        granted: f64,
+        key: &PlaceKey,
+        host: &str,
+        wanted: f64,
+    ) -> f64 {
+        let hosts = self.places.entry(key.clone()).or_default();
+        let others: f64 = hosts
+            .iter()
+            .filter(|(name, _)| *name != host)
+            .map(|(_, share)| share.most(now))
+            .sum();
+        let share = hosts.entry(host.to_string()).or_default();
+        share.demand = believable(wanted);
+        share.reported_at = Some(now);
+        let demand = share.demand;
+        let total: f64 = hosts.values().map(|share| share.demand).sum();
+        if total <= 0.0 {
+            return 0.0;
+        }
+        let free = (granted - others).max(0.0);
+        let rate = (granted * demand / total).min(free);
+        if rate > 0.0 {
+            let until = now + Self::TTL;
+            let share = hosts.entry(host.to_string()).or_default();
+            share.grants.push(ShareGrant { rate, until });
+        }
+        rate
+    }
+
+    fn expire(&mut self, now: Instant) {
+        for hosts in self.places.values_mut() {
+            hosts.retain(|_, share| {
+                share.grants.retain(|grant| grant.until > now);
+                let reported = share.reported_at.map(|at| at + Self::TTL);
+                !share.grants.is_empty() || reported.is_some_and(|until| until > now)
+            });
+        }
+        self.places.retain(|_, hosts| !hosts.is_empty());
+    }
+}
+
+impl Default for ShareTable {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HostShare {
+    /// Returns the greatest unexpired grant.
+    fn most(&self, now: Instant) -> f64 {
+        let live = self.grants.iter().filter(|grant| grant.until > now);
+        live.map(|grant| grant.rate).fold(0.0, f64::max)
+    }
+}
+
+/// Bounds what a host reports to a sensible number.
+fn believable(demand: f64) -> f64 {
+    if demand.is_finite() {
+        return demand.clamp(0.0, ShareTable::MAX_DEMAND);
+    }
+    0.0
+}
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Write};
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
 /// What the store needs of a file system; tests put faults behind it.
@@ -42,6 +43,13 @@
     /// Gives the file system's error; some of the bytes may have been written.
     fn append(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()>;
 
+    /// Writes over the start of a file, which is created where it is not there.
+    ///
+    /// # Errors
+    ///
+    /// Gives the file system's error.
+    fn overwrite(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()>;
+
     /// Cuts a file to a length, in bytes.
     ///
     /// # Errors
@@ -136,6 +144,16 @@
         self.file(path)?.write_all(bytes)
     }
 
+    fn overwrite(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        let mut options = OpenOptions::new();
+        let file = options
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(path)?;
+        file.write_all_at(bytes, 0)
+    }
+
     fn truncate(&mut self, path: &Path, length: u64) -> io::Result<()> {
         self.file(path)?.set_len(length)
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,11 +10,13 @@
 //! | [`record`] | framing of records: length and checksums |
 //! | [`segment`] | records of the log and their replay |
 //! | [`identity`] | whose folder it is |
+//! | [`mark`] | how far the log was synced |
 //! | [`error`] | what goes wrong, with file and offset |
 
 pub mod disk;
 pub mod error;
 pub mod identity;
+pub mod mark;
 pub mod record;
 pub mod replica;
 pub mod segment;
--- a/crates/store/src/replica.rs
+++ b/crates/store/src/replica.rs
@@ -10,6 +10,7 @@
 use crate::disk::{DiskEdge, HostDisk};
 use crate::error::{Result, StoreError};
 use crate::identity::{self, FolderIdentity};
+use crate::mark::SyncMark;
 use crate::record::{self, ReadRecord};
 use crate::segment::{LogRecord, LogReplay};
 
@@ -41,6 +42,16 @@
     bytes: u64,
 }
 
+/// A log file that is replayed.
+#[derive(Debug, Clone, Copy)]
+struct LogFile {
+    sequence: u64,
+    /// No other file follows it.
+    last: bool,
+    /// Bytes that are known to have been synced.
+    synced: u64,
+}
+
 /// Records on their way to the log.
 #[derive(Debug, Default)]
 struct LogBuffer {
@@ -164,10 +175,12 @@
         segment.bytes += bytes.len() as u64;
         segment.last_index = segment.last_index.max(last_index);
         let path = self.folder.join(log_name(segment.sequence));
+        let mark = SyncMark::new(segment.sequence, segment.bytes);
         self.disk
             .append(&path, bytes)
             .map_err(StoreError::at(&path))?;
-        self.disk.sync_file(&path).map_err(StoreError::at(&path))
+        self.disk.sync_file(&path).map_err(StoreError::at(&path))?;
+        mark.write(self.disk.as_mut(), &self.folder)
     }
 
     /// Puts a snapshot in place, begins a new log file and removes what the snapshot replaces.
@@ -255,7 +268,8 @@
         }
         let identity = FolderIdentity::read(self.disk.as_mut(), &self.folder, replica)?;
         let snapshot = self.read_snapshot()?;
-        let replay = self.replay(&snapshot)?;
+        let mark = SyncMark::read(self.disk.as_mut(), &self.folder, &names)?;
+        let replay = self.replay(&snapshot, mark)?;
         self.base = (snapshot.index, snapshot.term);
         self.hard = replay.hard;
         if self.segments.is_empty() {
@@ -290,7 +304,7 @@
         }
     }
 
-    fn replay(&mut self, snapshot: &entry::LogSnapshot) -> Result<LogReplay> {
+    fn replay(&mut self, snapshot: &entry::LogSnapshot, mark: SyncMark) -> Result<LogReplay> {
         let files = self.numbered(LOG_PREFIX)?;
         let mut replay = LogReplay::new(snapshot.index);
         for (position, (name, sequence)) in files.iter().enumerate() {
@@ -307,12 +321,18 @@
                     "the log file before it is missing",
                 ));
             }
-            let segment = self.replay_file(&path, *sequence, last, &mut replay)?;
+            let file = LogFile {
+                sequence: *sequence,
+                last,
+                synced: mark.length_of(*sequence),
+            };
+            let segment = self.replay_file(&path, file, &mut replay)?;
             self.segments.push(segment);
         }
-        if files.is_empty() && snapshot.index > 0 {
+        let last = files.last().map_or(0, |(_, sequence)| *sequence);
+        if last < mark.sequence() || (files.is_empty() && snapshot.index > 0) {
             let path = self.folder.clone();
-            return Err(StoreError::Damaged(path, 0, "its log files are missing"));
+            return Err(StoreError::Damaged(path, 0, "log files are missing"));
         }
         replay.start_after(snapshot.index, snapshot.term);
         let first = replay
@@ -333,8 +353,7 @@
     fn replay_file(
         &mut self,
         path: &Path,
-        sequence: u64,
-        last: bool,
+        file: LogFile,
         replay: &mut LogReplay,
     ) -> Result<SegmentFile> {
         let bytes = self.disk.read(path).map_err(StoreError::at(path))?;
@@ -357,8 +376,12 @@
                         .map_err(|reason| damaged(offset, reason))?;
                     offset = end;
                 }
+                ReadRecord::End | ReadRecord::Torn if (offset as u64) < file.synced => {
+                    let reason = "the file is shorter than it was when it was synced";
+                    return Err(damaged(offset, reason));
+                }
                 ReadRecord::End if offset > 0 => break,
-                ReadRecord::Torn if last && offset > 0 => {
+                ReadRecord::Torn if file.last && offset > 0 => {
                     self.cut(path, offset as u64)?;
                     break;
                 }
@@ -369,7 +392,7 @@
             }
         }
         Ok(SegmentFile {
-            sequence,
+            sequence: file.sequence,
             last_index,
             bytes: offset as u64,
         })
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -114,6 +114,10 @@
         }
     }
 
+    fn overwrite(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        self.act(|host| host.overwrite(path, bytes))
+    }
+
     fn truncate(&mut self, path: &Path, length: u64) -> io::Result<()> {
         self.act(|host| host.truncate(path, length))
     }
@@ -169,6 +173,7 @@
         hard: Some(HardState {
             term: index,
             vote: Some(2),
+            ..HardState::default()
         }),
         append: vec![command(index)],
         ..PersistWrite::default()
