--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -477,7 +477,7 @@
             "quorum": self.machine.report(now),
             "state": self.book.state(),
             "verdicts": verdicts,
-            "shares": self.shares.report(),
+            "shares": self.shares.summary(),
             "waiting": self.pending.len(),
             "beats": self.beats,
         })
--- a/crates/control/src/shares.rs
+++ b/crates/control/src/shares.rs
@@ -16,6 +16,9 @@
 /// Requests a second by place.
 pub type PlaceRates = BTreeMap<PlaceKey, f64>;
 
+/// Shares of one place by entry host.
+type HostShares = BTreeMap<ids::HostName, HostShare>;
+
 /// Grants the second half of each place's cap.
 ///
 /// The sum of all unexpired grants of a place never rises above half of its cap. Where a ticket
@@ -24,7 +27,7 @@
 #[derive(Debug)]
 pub struct ShareTable {
     grants_from: Option<Instant>,
-    places: BTreeMap<PlaceKey, BTreeMap<ids::HostName, HostShare>>,
+    places: BTreeMap<PlaceKey, HostShares>,
 }
 
 /// What one entry host wants and holds of one place.
@@ -51,6 +54,9 @@
     /// Time to live of a grant. A host counts it from when it sent its request.
     pub const TTL: Duration = Duration::from_secs(2);
 
+    /// Time for which a reported demand counts.
+    pub const DEMAND_AGE: Duration = Duration::from_secs(4);
+
     /// Part of a cap that is granted.
     pub const GRANTED_PART: f64 = 0.5;
 
@@ -79,7 +85,8 @@
 
     /// Takes a host's demand and grants its shares.
     ///
-    /// Places and hosts that are not in force get nothing.
+    /// Demand counts from the first report on, also before anything is granted. Places and hosts
+    /// that are not in force get nothing.
     pub fn lease(
         &mut self,
         now: Instant,
@@ -88,10 +95,10 @@
         demand: &PlaceRates,
     ) -> PlaceRates {
         let mut shares = PlaceRates::new();
-        if self.grants_from.is_none_or(|from| now < from) {
-            return shares;
-        }
         self.expire(now);
+        let Some(from) = self.grants_from else {
+            return shares;
+        };
         if state::live(&force.hosts).all(|(name, _)| name != host) {
             return shares;
         }
@@ -99,9 +106,12 @@
             for (zone, place) in &spec.places {
                 let key = (service.to_string(), zone.clone());
                 let wanted = demand.get(&key).copied().unwrap_or(0.0);
-                let granted = place.cap * Self::GRANTED_PART;
-                let rate = self.grant(now, granted, &key, host, wanted);
-                shares.insert(key, rate);
+                let hosts = self.places.entry(key.clone()).or_default();
+                report(now, hosts, host, wanted);
+                if now >= from {
+                    let rate = grant(now, hosts, host, place.cap * Self::GRANTED_PART);
+                    shares.insert(key, rate);
+                }
             }
         }
         shares
@@ -110,54 +120,22 @@
     /// Returns the sum of what hosts may use of a place by unexpired grants.
     pub fn granted(&self, now: Instant, key: &PlaceKey) -> f64 {
         let hosts = self.places.get(key).into_iter().flatten();
-        hosts.map(|(_, share)| share.most(now)).sum()
+        hosts.fold(0.0, |sum, (_, share)| sum + share.most(now))
     }
 
     /// Returns what each host wants and holds, for a dump.
-    pub fn report(&self) -> BTreeMap<String, BTreeMap<ids::HostName, HostShare>> {
+    pub fn summary(&self) -> BTreeMap<String, BTreeMap<ids::HostName, HostShare>> {
         self.places
             .iter()
             .map(|((service, zone), hosts)| (format!("{service}/{zone}"), hosts.clone()))
             .collect()
     }
 
-    fn grant(
-        &mut self,
-        now: Instant,
-        granted: f64,
-        key: &PlaceKey,
-        host: &str,
-        wanted: f64,
-    ) -> f64 {
-        let hosts = self.places.entry(key.clone()).or_default();
-        let others: f64 = hosts
-            .iter()
-            .filter(|(name, _)| *name != host)
-            .map(|(_, share)| share.most(now))
-            .sum();
-        let share = hosts.entry(host.to_string()).or_default();
-        share.demand = believable(wanted);
-        share.reported_at = Some(now);
-        let demand = share.demand;
-        let total: f64 = hosts.values().map(|share| share.demand).sum();
-        if total <= 0.0 {
-            return 0.0;
-        }
-        let free = (granted - others).max(0.0);
-        let rate = (granted * demand / total).min(free);
-        if rate > 0.0 {
-            let until = now + Self::TTL;
-            let share = hosts.entry(host.to_string()).or_default();
-            share.grants.push(ShareGrant { rate, until });
-        }
-        rate
-    }
-
     fn expire(&mut self, now: Instant) {
         for hosts in self.places.values_mut() {
             hosts.retain(|_, share| {
                 share.grants.retain(|grant| grant.until > now);
-                let reported = share.reported_at.map(|at| at + Self::TTL);
+                let reported = share.reported_at.map(|at| at + Self::DEMAND_AGE);
                 !share.grants.is_empty() || reported.is_some_and(|until| until > now)
             });
         }
@@ -179,6 +157,33 @@
     }
 }
 
+/// Notes what a host wants of a place.
+fn report(now: Instant, hosts: &mut HostShares, host: &str, wanted: f64) {
+    let share = hosts.entry(host.to_string()).or_default();
+    share.demand = believable(wanted);
+    share.reported_at = Some(now);
+}
+
+/// Grants a host its part of what is granted of a place, as far as the others leave it free.
+fn grant(now: Instant, hosts: &mut HostShares, host: &str, granted: f64) -> f64 {
+    let total: f64 = hosts.values().map(|share| share.demand).sum();
+    let others: f64 = hosts
+        .iter()
+        .filter(|(name, _)| *name != host)
+        .map(|(_, share)| share.most(now))
+        .sum();
+    let Some(share) = hosts.get_mut(host).filter(|share| share.demand > 0.0) else {
+        return 0.0;
+    };
+    let free = (granted - others).max(0.0);
+    let rate = (granted * share.demand / total).min(free);
+    if rate > 0.0 {
+        let until = now + ShareTable::TTL;
+        share.grants.push(ShareGrant { rate, until });
+    }
+    rate
+}
+
 /// Bounds what a host reports to a sensible number.
 fn believable(demand: f64) -> f64 {
     if demand.is_finite() {
