--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -51,12 +51,13 @@
     /// Creates what a process with these settings shares.
     pub fn new(settings: EntrySettings, clock: TimeSource, metrics: MetricRegistry) -> Self {
         let peers = PeerTable::new(clock.now(), settings.name.clone());
+        let registry = Arc::new(BackendRegistry::new());
         Self {
             settings,
             clock,
             holder: Arc::default(),
-            registry: Arc::default(),
-            steering: HostSteering::new(),
+            steering: HostSteering::new(Arc::clone(&registry)),
+            registry,
             metrics,
             incarnation: start_number(),
             exchanges: ExchangeCounts::default(),
--- a/crates/entry/src/leases.rs
+++ b/crates/entry/src/leases.rs
@@ -98,7 +98,7 @@
 /// Reports demand and what is in force here.
 fn request(context: &EntryContext, now: Instant) -> v1::LeaseRequest {
     let view = context.holder.view();
-    let demand = context.steering.routes().load().demand(now);
+    let demand = context.steering.table().demand(now);
     v1::LeaseRequest {
         host: context.settings.name.clone(),
         revision: view.state.revision,
@@ -119,7 +119,7 @@
     let now = context.now();
     let ttl = Duration::from_millis(reply.ttl_ms);
     let left = ttl.saturating_sub(now.saturating_duration_since(sent));
-    let routes = context.steering.routes().load();
+    let routes = context.steering.table();
     for share in &reply.shares {
         let grant = ShareGrant {
             service: &share.service,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,8 @@
 //! | [`steering`] | routes and look-ups, made anew as state changes |
 //! | [`lookup`] | which entry hosts a caller should use |
 //! | [`dump`] | the whole state as JSON |
+//! | [`keys`] | idempotency keys |
+//! | [`service`] | calls of other entry hosts |
 //! | [`answers`] | what is answered besides forwarded requests |
 //! | [`host`] | start and planned stop |
 
@@ -24,10 +26,12 @@
 pub mod dump;
 pub mod exchange;
 pub mod host;
+pub mod keys;
 pub mod leases;
 pub mod lookup;
 pub mod peers;
 pub mod polls;
+pub mod service;
 pub mod settings;
 pub mod standing;
 pub mod steering;
--- a/crates/entry/src/steering.rs
+++ b/crates/entry/src/steering.rs
@@ -6,14 +6,17 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
+use forward::steered::{ServeMode, SteeredRoutes};
 use futures_util::future;
 use model::ids;
 use model::state::ForceState;
+use registry::BackendRegistry;
 use serde_json::{json, Value};
 use steer::lookup::{self, HostTarget};
 use steer::{LookupTable, RouteTable, TableBuilder};
 
 use crate::context::EntryContext;
+use crate::standing::HostStanding;
 
 /// Longest time between two looks at which hosts are closed.
 pub const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
@@ -21,25 +24,30 @@
 /// The present routes and look-ups; requests read them without a lock.
 #[derive(Debug)]
 pub struct HostSteering {
-    routes: Arc<ArcSwap<RouteTable>>,
+    routes: Arc<SteeredRoutes>,
     lookups: ArcSwap<LookupTable>,
 }
 
 impl HostSteering {
     /// Creates the steering of a host that has no state yet.
-    pub fn new() -> Self {
+    pub fn new(registry: Arc<BackendRegistry>) -> Self {
         let empty = LookupTable::new(&ForceState::default(), &BTreeSet::new());
         Self {
-            routes: Arc::default(),
+            routes: Arc::new(SteeredRoutes::new(registry)),
             lookups: ArcSwap::from_pointee(empty),
         }
     }
 
     /// Returns the routes, which change as what is in force does.
-    pub fn routes(&self) -> &Arc<ArcSwap<RouteTable>> {
+    pub fn routes(&self) -> &Arc<SteeredRoutes> {
         &self.routes
     }
 
+    /// Returns the routing table in force.
+    pub fn table(&self) -> Arc<RouteTable> {
+        self.routes.table()
+    }
+
     /// Returns the entry hosts for a caller of a zone, in order.
     pub fn hosts_by_zone(&self, zone: &str, caller: Option<IpAddr>) -> Vec<Arc<HostTarget>> {
         let hash = caller.map_or(0, lookup::caller_hash);
@@ -53,7 +61,7 @@
 
     /// Returns the routes for a state dump.
     pub fn report(&self, now: Instant) -> Value {
-        let routes = self.routes.load();
+        let routes = self.table();
         let demand: Vec<_> = routes
             .demand(now)
             .into_iter()
@@ -63,17 +71,22 @@
     }
 
     fn set_state(&self, now: Instant, own: (&str, &str), state: &ForceState) {
-        let previous = self.routes.load();
+        let previous = self.table();
         let table = TableBuilder::new(state, own.0, own.1)
             .previous(&previous)
             .build(now);
-        self.routes.store(Arc::new(table));
+        self.routes.set_state(state, Arc::new(table));
     }
 }
 
-impl Default for HostSteering {
-    fn default() -> Self {
-        Self::new()
+/// Tells the request path whether it may take new work.
+fn serve_mode(standing: HostStanding) -> ServeMode {
+    match standing {
+        HostStanding::Starting => ServeMode::Starting,
+        HostStanding::Serving | HostStanding::Detached | HostStanding::Stopping => {
+            ServeMode::Serving
+        }
+        HostStanding::CutOff => ServeMode::CutOff,
     }
 }
 
@@ -111,6 +124,8 @@
             context.registry.set_state(now, &state);
             context.steering.set_state(now, own, &state);
         }
+        let mode = serve_mode(context.standing());
+        context.steering.routes.set_mode(mode);
         let lookups = &context.steering.lookups;
         if is_new {
             lookups.store(Arc::new(LookupTable::new(&state, &closed)));
