feat(forward): choose backend servers by what is in force

Bytes of long bodies are paced on the link that they cross. An attempt given up after its hedge delay counts as timed out.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{HeaderName, Method, Request, Response, StatusCode};
@@ -14,8 +13,8 @@
 use crate::body::{self, AnswerBody, ReadBody, RequestBody, StreamedAnswer, UploadState};
 use crate::connection::{BackendConnection, SendEnd};
 use crate::headers;
+use crate::lease::{AttemptBytes, AttemptResult, LinkPacer, RouteLease};
 use crate::pool::{BackendPool, PoolMap};
-use crate::routes::{AttemptResult, RouteLease};
 use crate::settings::ForwardSettings;
 
 /// How an attempt ended.
@@ -68,28 +67,71 @@
     connection: BackendConnection,
     pool: Arc<BackendPool>,
     lease: RouteLease,
-    upload: Option<Arc<UploadState>>,
+    upload: UploadPart,
+}
+
+/// The body of a request within an exchange.
+#[derive(Debug)]
+enum UploadPart {
+    /// Held whole, of this many bytes.
+    Held(u64),
+    /// Passed on while it arrives.
+    Streamed(Arc<UploadState>),
+}
+
+impl UploadPart {
+    fn is_done(&self) -> bool {
+        match self {
+            Self::Held(_) => true,
+            Self::Streamed(state) => state.is_done(),
+        }
+    }
+
+    fn sent(&self) -> u64 {
+        match self {
+            Self::Held(bytes) => *bytes,
+            Self::Streamed(state) => state.sent(),
+        }
+    }
+}
+
+impl From<&RequestBody> for UploadPart {
+    fn from(body: &RequestBody) -> Self {
+        match body {
+            RequestBody::Held(bytes) => Self::Held(bytes.len() as u64),
+            RequestBody::Streamed(upload) => Self::Streamed(upload.state()),
+        }
+    }
 }
 
 impl ExchangeGuard {
-    /// Ends an exchange whose answer came whole, and keeps its connection where that is safe.
-    pub(crate) fn answered(self) {
-        self.end(AttemptResult::Answered);
+    /// Ends an exchange whose answer came whole, of this many bytes, and keeps its connection
+    /// where that is safe.
+    pub(crate) fn answered(self, down: u64) {
+        self.end(AttemptResult::Answered, down);
     }
 
     /// Ends an exchange without a whole answer; its connection closes.
-    pub(crate) fn failed(self) {
-        self.lease.finish(Instant::now(), AttemptResult::Failed);
+    pub(crate) fn failed(self, down: u64) {
+        self.close(AttemptResult::Broken, down);
     }
 
-    fn shed(self) {
-        self.end(AttemptResult::Shed);
+    /// Returns a handle that paces bytes on the link to the backend server.
+    pub(crate) fn pacer(&self) -> LinkPacer {
+        self.lease.pacer()
     }
 
-    fn end(mut self, result: AttemptResult) {
+    fn close(self, result: AttemptResult, down: u64) {
+        let up = self.upload.sent();
+        let bytes = AttemptBytes { up, down };
+        self.lease.finish(Instant::now(), result, bytes);
+    }
+
+    fn end(mut self, result: AttemptResult, down: u64) {
         let now = Instant::now();
-        self.lease.finish(now, result);
-        if self.upload.is_none_or(|upload| upload.is_done()) {
+        let up = self.upload.sent();
+        self.lease.finish(now, result, AttemptBytes { up, down });
+        if self.upload.is_done() {
             self.connection.set_answered(now);
             self.pool.put_idle(self.connection);
         }
@@ -169,26 +211,28 @@
         choice: ConnectionChoice,
         body: RequestBody,
     ) -> AttemptEnd {
-        let pool = self.pools.get(lease.address);
-        let upload = match &body {
-            RequestBody::Held(_) => None,
-            RequestBody::Streamed(upload) => Some(upload.state()),
-        };
+        let pool = self.pools.get(lease.address());
+        let upload = UploadPart::from(&body);
         let connection = match self.connect(&pool, &lease, choice).await {
             Ok(Some(connection)) => connection,
-            Ok(None) => return AttemptEnd::Full(body),
+            Ok(None) => {
+                lease.give_back(Instant::now());
+                return AttemptEnd::Full(body);
+            }
             Err(ConnectFailed) => {
-                lease.finish(Instant::now(), AttemptResult::Failed);
+                let (now, none) = (Instant::now(), AttemptBytes::default());
+                lease.finish(now, AttemptResult::NotSent, none);
                 return AttemptEnd::NotSent(body);
             }
         };
+        let pacer = lease.pacer();
         let guard = ExchangeGuard {
             connection,
             pool,
             lease,
             upload,
         };
-        self.exchange(guard, body).await
+        self.exchange(guard, body.paced(&pacer)).await
     }
 
     /// Finds a connection; gives none where all are in use.
@@ -213,10 +257,10 @@
         let Some(permit) = pool.permit(self.settings.max_backend_connections) else {
             return Ok(None);
         };
-        match BackendConnection::open(lease.address, permit, self.settings).await {
+        match BackendConnection::open(lease.address(), permit, self.settings).await {
             Ok(connection) => Ok(Some(connection)),
             Err(err) => {
-                log::debug!(target: "forward", "{}: {err}", lease.address);
+                log::debug!(target: "forward", "{}: {err}", lease.address());
                 Err(ConnectFailed)
             }
         }
@@ -229,12 +273,12 @@
             SendEnd::Head(response) => self.read_answer(guard, response).await,
             SendEnd::NotSent(request) => {
                 self.plan.sent.take_back();
-                guard.failed();
+                guard.close(AttemptResult::NotSent, 0);
                 AttemptEnd::NotSent(request.into_body())
             }
             SendEnd::Broken(err) => {
-                log::debug!(target: "forward", "{}: {err}", guard.lease.address);
-                guard.failed();
+                log::debug!(target: "forward", "{}: {err}", guard.lease.address());
+                guard.failed(0);
                 AttemptEnd::Broken
             }
         }
@@ -245,40 +289,54 @@
             || self.plan.answer_is_unframed(&response)
             || self.plan.answer_is_foreign(&response);
         if odd {
-            log::warn!(target: "forward", "{}: odd answer dropped", guard.lease.address);
-            guard.failed();
+            log::warn!(target: "forward", "{}: odd answer dropped", guard.lease.address());
+            guard.failed(0);
             return AttemptEnd::Broken;
         }
-        let shed = is_documented_shed(&response);
+        if is_documented_shed(&response) {
+            self.plan.sent.take_back();
+            self.end_shed(guard, response).await;
+            return AttemptEnd::Shed;
+        }
         let (mut parts, mut incoming) = response.into_parts();
         let held = match body::read_up_to(&mut incoming, self.settings.hold_bytes).await {
             Ok(held) => held,
-            Err(err) if !shed => {
-                log::debug!(target: "forward", "{}: {err}", guard.lease.address);
-                guard.failed();
+            Err(err) => {
+                log::debug!(target: "forward", "{}: {err}", guard.lease.address());
+                guard.failed(0);
                 return AttemptEnd::Broken;
             }
-            Err(_) => ReadBody::Start(Bytes::new()),
         };
-        if shed {
-            self.plan.sent.take_back();
-            guard.shed_after(&held);
-            return AttemptEnd::Shed;
-        }
         self.dress(&mut parts);
         let body = match held {
             ReadBody::Whole(bytes) => {
-                guard.answered();
+                guard.answered(bytes.len() as u64);
                 AnswerBody::Held(bytes)
             }
             ReadBody::Start(start) => {
                 let due = sleep_until(self.plan.due);
-                AnswerBody::Streamed(StreamedAnswer::new(start, incoming, guard, due))
+                let answer = StreamedAnswer::new(start, incoming, guard, due);
+                AnswerBody::Streamed(Box::new(answer))
             }
         };
         AttemptEnd::Answered(Box::new(Response::from_parts(parts, body)))
     }
 
+    /// Ends an exchange that was shed; its connection is kept only after a whole answer.
+    async fn end_shed(&self, guard: ExchangeGuard, response: Response<Incoming>) {
+        let retry_after = response
+            .headers()
+            .get(header::RETRY_AFTER)
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .map(Duration::from_secs);
+        let result = AttemptResult::Shed { retry_after };
+        let mut incoming = response.into_body();
+        match body::read_up_to(&mut incoming, self.settings.hold_bytes).await {
+            Ok(ReadBody::Whole(bytes)) => guard.end(result, bytes.len() as u64),
+            Ok(ReadBody::Start(_)) | Err(_) => guard.close(result, 0),
+        }
+    }
+
     /// Makes the head of a backend server's answer one of this system.
     fn dress(&self, parts: &mut http::response::Parts) {
         headers::remove_hop_by_hop(&mut parts.headers);
@@ -297,16 +355,6 @@
     }
 }
 
-impl ExchangeGuard {
-    /// Ends an exchange that was shed; its connection is kept only after a whole answer.
-    fn shed_after(self, held: &ReadBody) {
-        match held {
-            ReadBody::Whole(_) => self.shed(),
-            ReadBody::Start(_) => self.lease.finish(Instant::now(), AttemptResult::Shed),
-        }
-    }
-}
-
 /// A backend server could not be reached.
 struct ConnectFailed;
 
--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -1,9 +1,11 @@
 //! Bodies that count and never pass on a part as a whole.
 
+use std::future::Future;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::future::BoxFuture;
@@ -11,8 +13,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quick_error::quick_error;
+use tokio::time::Sleep;
 
 use crate::attempt::ExchangeGuard;
+use crate::lease::LinkPacer;
 
 quick_error! {
     /// Why a body ended before it was whole.
@@ -80,6 +84,7 @@
 /// How far the body of a request got.
 #[derive(Debug, Default)]
 pub(crate) struct UploadState {
+    sent: AtomicU64,
     done: AtomicBool,
     too_large: AtomicBool,
 }
@@ -90,6 +95,11 @@
         self.done.load(Ordering::Acquire)
     }
 
+    /// Returns the bytes that were handed to the connection.
+    pub(crate) fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
     /// Tells whether the body passed its bound.
     pub(crate) fn is_too_large(&self) -> bool {
         self.too_large.load(Ordering::Acquire)
@@ -105,6 +115,17 @@
     Streamed(StreamedUpload),
 }
 
+impl RequestBody {
+    /// Charges the bytes of a body that is passed on to the link that they cross.
+    #[must_use]
+    pub(crate) fn paced(mut self, pacer: &LinkPacer) -> Self {
+        if let Self::Streamed(upload) = &mut self {
+            upload.pacer = pacer.clone();
+        }
+        self
+    }
+}
+
 /// Body of a request that is passed on while it arrives.
 #[derive(Debug)]
 pub(crate) struct StreamedUpload {
@@ -112,6 +133,26 @@
     rest: Incoming,
     left: u64,
     state: Arc<UploadState>,
+    pacer: LinkPacer,
+    pause: PacePause,
+}
+
+/// A pause that the budget of a link demands before more bytes pass.
+#[derive(Debug, Default)]
+struct PacePause(Option<Pin<Box<Sleep>>>);
+
+impl PacePause {
+    fn set(&mut self, wait: Duration) {
+        self.0 = (!wait.is_zero()).then(|| Box::pin(tokio::time::sleep(wait)));
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if let Some(sleep) = &mut self.0 {
+            ready!(sleep.as_mut().poll(cx));
+            self.0 = None;
+        }
+        Poll::Ready(())
+    }
 }
 
 impl StreamedUpload {
@@ -122,6 +163,8 @@
             rest,
             left: bound,
             state: Arc::default(),
+            pacer: LinkPacer::default(),
+            pause: PacePause::default(),
         }
     }
 
@@ -136,10 +179,14 @@
             return Err(BodyError::TooLarge);
         };
         self.left = left;
+        let bytes = data.len() as u64;
+        self.state.sent.fetch_add(bytes, Ordering::Relaxed);
+        self.pause.set(self.pacer.pace_up(Instant::now(), bytes));
         Ok(Frame::data(data))
     }
 
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        ready!(self.pause.poll(cx));
         if !self.start.is_empty() {
             let start = std::mem::take(&mut self.start);
             return Poll::Ready(Some(self.count(start)));
@@ -200,7 +247,7 @@
     /// Held whole.
     Held(Bytes),
     /// Passed on while it arrives; a cut ends the caller's connection.
-    Streamed(StreamedAnswer),
+    Streamed(Box<StreamedAnswer>),
 }
 
 /// Body of an answer that is passed on while it arrives.
@@ -209,6 +256,8 @@
     rest: Incoming,
     guard: Option<ExchangeGuard>,
     due: BoxFuture<'static, ()>,
+    passed: u64,
+    pause: PacePause,
 }
 
 impl std::fmt::Debug for StreamedAnswer {
@@ -225,12 +274,14 @@
         guard: ExchangeGuard,
         due: BoxFuture<'static, ()>,
     ) -> Self {
-        let guard = Some(guard);
+        let passed = start.len() as u64;
         Self {
             start,
             rest,
-            guard,
+            guard: Some(guard),
             due,
+            passed,
+            pause: PacePause::default(),
         }
     }
 
@@ -243,6 +294,7 @@
             self.fail();
             return Poll::Ready(Some(Err(BodyError::Late)));
         }
+        ready!(self.pause.poll(cx));
         loop {
             match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
                 None => {
@@ -255,6 +307,7 @@
                 }
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.count(data.len() as u64);
                         return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
@@ -262,15 +315,23 @@
         }
     }
 
+    fn count(&mut self, bytes: u64) {
+        self.passed += bytes;
+        if let Some(guard) = &self.guard {
+            self.pause
+                .set(guard.pacer().pace_down(Instant::now(), bytes));
+        }
+    }
+
     fn finish(&mut self) {
         if let Some(guard) = self.guard.take() {
-            guard.answered();
+            guard.answered(self.passed);
         }
     }
 
     fn fail(&mut self) {
         if let Some(guard) = self.guard.take() {
-            guard.failed();
+            guard.failed(self.passed);
         }
     }
 }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -12,7 +12,7 @@
 use model::ids;
 use model::outcome::{self, RefusalReason};
 use tokio::sync::oneshot;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{self, Xxh3};
 
 use crate::attempt::{self, AttemptEnd, AttemptPlan, AttemptRunner, ConnectionChoice, SentCount};
 use crate::body::{self, AnswerBody, ReadBody, RequestBody, StreamedUpload, UploadState};
@@ -20,9 +20,10 @@
 use crate::edges::ClaimEdge;
 use crate::facts::{self, RequestFacts};
 use crate::headers;
+use crate::lease::RouteLease;
 use crate::pool::PoolMap;
 use crate::refusal::RequestRefusal;
-use crate::routes::{RouteLease, RouteQuery, RouteTable};
+use crate::routes::{RouteQuery, RouteSession, RouteTable};
 use crate::settings::ForwardSettings;
 
 type AnswerResult = Result<Response<AnswerBody>, RequestRefusal>;
@@ -54,18 +55,22 @@
         }
     }
 
+    fn is_held(&self) -> bool {
+        matches!(self.body, Some(RequestBody::Held(_)))
+    }
+
     fn give_back(&mut self, body: RequestBody, reason: RefusalReason) {
         self.body = Some(body);
         self.reason = reason;
     }
 
-    fn query<'a>(&'a self, tried: &'a [SocketAddr]) -> RouteQuery<'a> {
+    fn query(&self) -> RouteQuery {
         RouteQuery {
-            service: &self.facts.service,
-            deadline: self.plan.due,
+            service: self.facts.service.clone(),
+            due: self.plan.due,
             body_bytes: self.facts.body_bytes.unwrap_or(0),
             idempotent: self.facts.idempotent,
-            tried,
+            seed: xxh3::xxh3_64(self.facts.request_id.as_bytes()),
         }
     }
 
@@ -277,18 +282,17 @@
     }
 
     async fn run(&self, run: &mut ForwardRun) -> AnswerResult {
-        let mut tried = Vec::new();
+        let mut session = self.routes.start(run.query())?;
         for number in 0..self.settings.max_attempts {
             let Some(body) = run.take_body() else {
                 break;
             };
-            let lease = match self.routes.choose(Instant::now(), &run.query(&tried)) {
+            let lease = match session.next_lease(Instant::now()) {
                 Ok(lease) => lease,
                 Err(refusal) if number == 0 => return Err(refusal),
                 Err(_) => break,
             };
-            tried.push(lease.address);
-            let again = match self.attempt(run, lease, body, &mut tried).await {
+            let again = match self.attempt(run, &mut session, lease, body).await {
                 AttemptEnd::Answered(response) => return Ok(*response),
                 AttemptEnd::NotSent(body) => {
                     run.give_back(body, RefusalReason::BackendFailed);
@@ -300,9 +304,9 @@
                 }
                 AttemptEnd::Shed => {
                     run.reason = RefusalReason::Overloaded;
-                    self.allow_retry(run)
+                    run.is_held() && session.take_retry()
                 }
-                AttemptEnd::Broken => run.facts.idempotent && self.allow_retry(run),
+                AttemptEnd::Broken => run.facts.idempotent && run.is_held() && session.take_retry(),
             };
             if !again {
                 break;
@@ -311,18 +315,13 @@
         Err(run.failure())
     }
 
-    fn allow_retry(&self, run: &ForwardRun) -> bool {
-        matches!(run.body, Some(RequestBody::Held(_)))
-            && self.routes.allow_retry(Instant::now(), &run.facts.service)
-    }
-
     /// Makes one attempt, and a second one beside it where the first is slow.
     async fn attempt(
         &self,
         run: &ForwardRun,
+        session: &mut RouteSession,
         lease: RouteLease,
         body: RequestBody,
-        tried: &mut Vec<SocketAddr>,
     ) -> AttemptEnd {
         let runner = AttemptRunner {
             settings: &self.settings,
@@ -336,16 +335,17 @@
             return runner.run(lease, ConnectionChoice::AnyOpen, body).await;
         };
         let copy = RequestBody::Held(bytes.clone());
+        let delay = self.hedge_delay(&lease);
+        let lease = lease.late_from(Instant::now() + delay);
+        let delay = Box::pin(tokio::time::sleep(delay));
         let first = Box::pin(runner.run(lease, ConnectionChoice::AnyOpen, body));
-        let delay = Box::pin(tokio::time::sleep(self.settings.hedge_delay));
         let first = match future::select(first, delay).await {
             Either::Left((end, _)) => return end,
             Either::Right(((), first)) => first,
         };
-        let Some(lease) = self.hedge_lease(run, tried) else {
+        let Some(lease) = hedge_lease(session) else {
             return first.await;
         };
-        tried.push(lease.address);
         let second = Box::pin(runner.run(lease, ConnectionChoice::New, copy));
         let end = match future::select(first, second).await {
             Either::Left((end @ AttemptEnd::Answered(_), _))
@@ -356,13 +356,31 @@
         end
     }
 
-    fn hedge_lease(&self, run: &ForwardRun, tried: &[SocketAddr]) -> Option<RouteLease> {
-        let now = Instant::now();
-        let lease = self.routes.choose(now, &run.query(tried)).ok()?;
-        self.routes
-            .allow_hedge(now, &run.facts.service)
-            .then_some(lease)
+    /// Returns the time after which an attempt counts as slow.
+    fn hedge_delay(&self, lease: &RouteLease) -> Duration {
+        match lease.usual_latency() {
+            Some(usual) => (usual * SLOW_FACTOR).clamp(MIN_HEDGE_DELAY, MAX_HEDGE_DELAY),
+            None => self.settings.hedge_delay,
+        }
+    }
+}
+
+/// Multiple of the usual latency from which an attempt counts as slow.
+const SLOW_FACTOR: u32 = 4;
+/// Shortest time without an answer after which a request is hedged.
+const MIN_HEDGE_DELAY: Duration = Duration::from_millis(20);
+/// Longest time without an answer after which a request is hedged.
+const MAX_HEDGE_DELAY: Duration = Duration::from_secs(1);
+
+/// Takes room for a second attempt, where the budget for hedges and a backend server allow it.
+fn hedge_lease(session: &mut RouteSession) -> Option<RouteLease> {
+    let now = Instant::now();
+    let lease = session.next_lease(now).ok()?;
+    if session.take_hedge() {
+        return Some(lease);
     }
+    lease.give_back(now);
+    None
 }
 
 /// Says that the deadline of a request passed.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,9 @@
 //! | [`facts`] | what a request's head says, checked |
 //! | [`forwarder`] | one request from its first attempt to its answer |
 //! | [`routes`] | which backend server takes the next attempt |
+//! | [`steered`] | that choice by what is in force and who announced themselves |
+//! | [`fixed`] | that choice from a list, for contract tests and measurements |
+//! | [`lease`] | room on a backend server for one attempt |
 //! | [`edges`] | what the process around this crate provides |
 //! | [`claimed`] | runs under an idempotency key |
 //! | [`refusal`] | answers made here, with their outcome and reason |
@@ -21,12 +24,15 @@
 pub mod claimed;
 pub mod edges;
 pub mod facts;
+pub mod fixed;
 pub mod forwarder;
 pub mod headers;
+pub mod lease;
 pub mod refusal;
 pub mod routes;
 pub mod server;
 pub mod settings;
+pub mod steered;
 
 mod attempt;
 mod connection;
--- /dev/null
+++ b/crates/forward/tests/steered.rs
@@ -0,0 +1,218 @@
+//! Requests go where the tickets in force and the announcements allow, and nowhere else.
+
+#![allow(missing_docs, clippy::unwrap_used, clippy::expect_used)]
+
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use forward::routes::RouteTable;
+use forward::steered::{ServeMode, SteeredRoutes};
+use model::backend::BackendAnnouncement;
+use model::raw::RawTicket;
+use model::state::ForceState;
+use model::ticket::ChangeTicket;
+use registry::BackendRegistry;
+use rstest::rstest;
+use support::{dead_address, get, ok, post, say, wait_until, Act, FakeBackend, Rig};
+
+const PLACES: &str = r#"
+    [region.altiplano]
+    zones = ["altiplano-a", "altiplano-b"]
+    cap = 100000.0
+    [host.entry-1]
+    zone = "altiplano-a"
+    callers = "127.0.0.1:1"
+    peers = "127.0.0.1:2"
+"#;
+
+struct Steered {
+    rig: Rig,
+    routes: Arc<SteeredRoutes>,
+    state: ForceState,
+}
+
+impl Steered {
+    /// Starts a server for the service `svc` of a class with a cap for each of two places.
+    fn start(class: &str, caps: [f64; 2], backends: &[(&FakeBackend, &str)]) -> Self {
+        let routes = Arc::new(SteeredRoutes::new(Arc::new(BackendRegistry::new())));
+        let rig = Rig::routed(RouteTable::Steered(routes.clone()), |_| {});
+        let mut steered = Self {
+            rig,
+            routes,
+            state: ForceState::default(),
+        };
+        steered.submit(1, class, caps, "");
+        for (backend, zone) in backends {
+            steered.announce(backend.address, zone);
+        }
+        steered.routes.set_mode(ServeMode::Serving);
+        steered
+    }
+
+    fn submit(&mut self, number: u64, class: &str, [a, b]: [f64; 2], leaving: &str) {
+        let text = format!(
+            "number = {number}\n{PLACES}\n[service.svc]\nclass = \"{class}\"\nshift = 1e6\n\
+             leaving = [{leaving}]\nplaces.altiplano-a.cap = {a:.1}\n\
+             places.altiplano-b.cap = {b:.1}\n"
+        );
+        let ticket = ChangeTicket::try_from(RawTicket::from_toml(&text).unwrap()).unwrap();
+        self.state.apply(&ticket);
+        let now = Instant::now();
+        let past = now.checked_sub(Duration::from_secs(60)).unwrap();
+        let table = steer::TableBuilder::new(&self.state, "entry-1", "altiplano-a").build(past);
+        self.routes.registry().set_state(now, &self.state);
+        self.routes.set_state(&self.state, Arc::new(table));
+    }
+
+    fn announce(&self, address: std::net::SocketAddr, zone: &str) {
+        let announcement = BackendAnnouncement {
+            service: "svc".into(),
+            address,
+            zone: zone.into(),
+            slots: 3,
+            incarnation: 1,
+            ttl: Duration::from_secs(30),
+        };
+        self.routes
+            .registry()
+            .announce(Instant::now(), announcement)
+            .unwrap();
+    }
+}
+
+#[rstest]
+#[case::starting(ServeMode::Starting)]
+#[case::cut_off(ServeMode::CutOff)]
+fn host_that_may_not_serve_runs_nothing(#[case] mode: ServeMode) {
+    let backend = FakeBackend::start(vec![say(&ok("x"))]);
+    let steered = Steered::start("read", [1e5, 1e5], &[(&backend, "altiplano-a")]);
+    steered.routes.set_mode(mode);
+    let refused = steered.rig.ask(&post("/s/svc/a", "", "1"));
+    assert_eq!(refused.verdict(), "503 not-run not-ready");
+    assert_eq!(refused.header("retry-after"), "1");
+    assert_eq!(backend.runs(), 0);
+}
+
+#[test]
+fn unknown_service_and_service_without_a_backend_run_nothing() {
+    let steered = Steered::start("read", [1e5, 1e5], &[]);
+    assert_eq!(
+        steered.rig.ask(&get("/s/none/a")).verdict(),
+        "404 not-run unknown-service"
+    );
+    assert_eq!(
+        steered.rig.ask(&get("/s/svc/a")).verdict(),
+        "503 not-run no-backend"
+    );
+}
+
+#[test]
+fn leaving_backend_gets_no_new_work() {
+    let leaving = FakeBackend::start(vec![say(&ok("old"))]);
+    let staying = FakeBackend::start(vec![say(&ok("new"))]);
+    let zone = "altiplano-a";
+    let mut steered = Steered::start("read", [1e5, 1e5], &[(&leaving, zone)]);
+    assert_eq!(steered.rig.ask(&get("/s/svc/a")).text(), "old");
+    steered.announce(staying.address, zone);
+    steered.submit(2, "read", [1e5, 1e5], &format!("\"{}\"", leaving.address));
+    steered.announce(leaving.address, zone);
+    for _ in 0..20 {
+        assert_eq!(steered.rig.ask(&get("/s/svc/a")).text(), "new");
+    }
+    assert_eq!(leaving.runs(), 1);
+}
+
+#[test]
+fn work_above_the_caps_is_refused_at_once_with_a_time_to_come_back() {
+    let backend = FakeBackend::start(vec![say(&ok("x"))]);
+    let steered = Steered::start("read", [20.0, 0.0], &[(&backend, "altiplano-a")]);
+    let mut caller = steered.rig.caller();
+    let start = Instant::now();
+    let answers: Vec<_> = (0..40)
+        .map(|_| caller.ask(&get("/s/svc/a")).unwrap())
+        .collect();
+    let took = start.elapsed().as_secs_f64();
+    let refused = answers.iter().find(|answer| answer.status != 200).unwrap();
+    assert_eq!(refused.verdict(), "503 not-run cap-reached");
+    assert!(
+        refused
+            .header("wisteria-retry-after-ms")
+            .parse::<u64>()
+            .unwrap()
+            > 0
+    );
+    let most = 20.0 * (took + 0.1) + 1.0;
+    assert!(
+        backend.runs() as f64 <= most,
+        "{} runs, {most} allowed",
+        backend.runs()
+    );
+}
+
+#[test]
+fn backend_that_sheds_or_is_gone_is_passed_over() {
+    let shed = "HTTP/1.1 503 No\r\nwisteria-shed: not-run\r\ncontent-length: 0\r\n\r\n";
+    let shedding = FakeBackend::start(vec![say(shed)]);
+    let good = FakeBackend::start(vec![say(&ok("good"))]);
+    let places = [(&shedding, "altiplano-a"), (&good, "altiplano-b")];
+    let steered = Steered::start("write", [1e5, 1e5], &places);
+    steered.announce(dead_address(), "altiplano-a");
+    let answer = steered.rig.ask(&post("/s/svc/a", "", "1"));
+    assert_eq!(answer.text(), "good");
+    assert_eq!(good.runs(), 1);
+}
+
+#[test]
+fn full_place_spills_to_the_next_one() {
+    let slow = FakeBackend::start(vec![Act::SayLater(300, ok("slow"))]);
+    let next = FakeBackend::start(vec![say(&ok("next"))]);
+    let places = [(&slow, "altiplano-a"), (&next, "altiplano-b")];
+    let steered = Steered::start("write", [1e5, 1e5], &places);
+    let mut first = steered.rig.caller();
+    first.write(post("/s/svc/a", "", "1").as_bytes());
+    assert!(wait_until(|| slow.runs() == 1));
+    assert_eq!(steered.rig.ask(&post("/s/svc/a", "", "1")).text(), "next");
+    assert_eq!(first.answer(false).unwrap().text(), "slow");
+}
+
+#[test]
+fn retries_stay_within_their_budget() {
+    let cut = Act::SayAndClose("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nx".into());
+    let broken: Vec<_> = (0..2)
+        .map(|_| FakeBackend::start(vec![cut.clone()]))
+        .collect();
+    let places = [(&broken[0], "altiplano-a"), (&broken[1], "altiplano-a")];
+    let steered = Steered::start("read", [1e5, 1e5], &places);
+    let count = 20;
+    for _ in 0..count {
+        assert_ne!(steered.rig.ask(&get("/s/svc/a")).status, 200);
+    }
+    let runs: usize = broken.iter().map(FakeBackend::runs).sum();
+    let most = count + count / 10 + 3;
+    assert!(runs <= most, "{runs} runs of {count} requests");
+}
+
+#[test]
+fn silent_backend_is_taken_out_after_some_late_answers() {
+    let silent = FakeBackend::start(vec![Act::Hang]);
+    let lively = FakeBackend::start(vec![say(&ok("b"))]);
+    let places = [(&silent, "altiplano-a"), (&lively, "altiplano-a")];
+    let steered = Steered::start("read", [1e5, 1e5], &places);
+    for _ in 0..60 {
+        let answer = steered
+            .rig
+            .ask(&post("/s/svc/a", "wisteria-deadline-ms: 100\r\n", "1"));
+        assert!(
+            [200, 503, 504].contains(&answer.status),
+            "{}",
+            answer.verdict()
+        );
+    }
+    assert!(
+        silent.runs() <= 10,
+        "{} runs on a silent backend server",
+        silent.runs()
+    );
+}
