--- a/crates/entry/src/answers.rs
+++ b/crates/entry/src/answers.rs
@@ -112,7 +112,10 @@
     match context.registry.announce(context.now(), announcement) {
         Ok(AnnounceAnswer::Taken { renew_within }) => {
             let renew_within_ms = convert::millis(renew_within);
-            body(StatusCode::Ok, &json!({ "leaving": false, "renew_within_ms": renew_within_ms }))
+            body(
+                StatusCode::Ok,
+                &json!({ "leaving": false, "renew_within_ms": renew_within_ms }),
+            )
         }
         Ok(AnnounceAnswer::Leaving) => body(StatusCode::Ok, &json!({ "leaving": true })),
         Err(error) => refuse_announcement(&error),
@@ -122,7 +125,7 @@
 fn refuse_announcement(error: &RegistryError) -> tide::Result {
     let status = match error {
         RegistryError::OldIncarnation { .. } => StatusCode::Conflict,
-        RegistryError::TableFull { .. } => StatusCode::ServiceUnavailable,
+        RegistryError::TableFull => StatusCode::ServiceUnavailable,
     };
     let mut response = body(status, &json!({ "error": error.to_string() }))?;
     if status == StatusCode::ServiceUnavailable {
@@ -165,7 +168,10 @@
         true => StatusCode::Ok,
         false => StatusCode::ServiceUnavailable,
     };
-    body(status, &json!({ "standing": standing, "revision": revision }))
+    body(
+        status,
+        &json!({ "standing": standing, "revision": revision }),
+    )
 }
 
 fn admits(token: &AccessToken, request: &AppRequest) -> bool {
@@ -181,18 +187,26 @@
 }
 
 fn refuse(status: StatusCode, faults: &[InputFault]) -> tide::Result {
-    body(status, &json!({ "error": "the input is not allowed", "faults": faults }))
+    body(
+        status,
+        &json!({ "error": "the input is not allowed", "faults": faults }),
+    )
 }
 
 fn body(status: StatusCode, value: &impl Serialize) -> tide::Result {
-    Ok(Response::builder(status).body(Body::from_json(value)?).build())
+    Ok(Response::builder(status)
+        .body(Body::from_json(value)?)
+        .build())
 }
 
 /// Turns a request of the HTTP server into one of the app.
 fn into_app(request: http::Request<Bytes>) -> Option<http_types::Request> {
     let (parts, body) = request.into_parts();
     let method: Method = parts.method.as_str().parse().ok()?;
-    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
     let url = Url::parse("http://entry-host/").ok()?.join(target).ok()?;
     let mut app = http_types::Request::new(method, url);
     for (name, value) in &parts.headers {
@@ -210,7 +224,10 @@
 /// Turns an answer of the app into one of the HTTP server.
 async fn from_app(mut response: http_types::Response) -> http::Response<Bytes> {
     let Ok(body) = response.body_bytes().await else {
-        return plain(http::StatusCode::INTERNAL_SERVER_ERROR, "the answer was cut");
+        return plain(
+            http::StatusCode::INTERNAL_SERVER_ERROR,
+            "the answer was cut",
+        );
     };
     let mut builder = http::Response::builder().status(u16::from(response.status()));
     for (name, values) in &response {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -108,5 +108,7 @@
 /// Returns a number that grows with each start, from the time of day.
 fn start_number() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
+    since.map_or(0, |since| {
+        u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+    })
 }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -115,8 +115,8 @@
             Some(open) => open,
             None => dial::connect(address, &context.settings.token).await?,
         };
-        let mut client = PeerClient::new(open.clone())
-            .max_decoding_message_size(dial::MAX_MESSAGE_BYTES);
+        let mut client =
+            PeerClient::new(open.clone()).max_decoding_message_size(dial::MAX_MESSAGE_BYTES);
         let reply = client.exchange(own_word(context)).await?.into_inner();
         *channel = Some(open);
         Ok::<_, ExchangeError>(reply)
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -70,8 +70,7 @@
         start_tasks(&context);
         let routes = RouteTable::Steered(Arc::clone(context.steering.routes()));
         let claims = Arc::new(KeyClaims::new(Arc::clone(&context)));
-        let forwarder =
-            RequestForwarder::new(ForwardSettings::default(), Arc::new(routes), claims);
+        let forwarder = RequestForwarder::new(ForwardSettings::default(), Arc::new(routes), claims);
         let answers = EntryAnswers::new(Arc::clone(&context));
         let server = CallerServer::new(Arc::new(forwarder), Arc::new(answers));
         let serving = task::spawn({
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -80,7 +80,12 @@
 
     /// Forgets hosts that are not in force.
     pub fn retain(&mut self, force: &ForceState) {
-        let known = |name: &String| force.hosts.get(name).is_some_and(|held| held.spec.is_some());
+        let known = |name: &String| {
+            force
+                .hosts
+                .get(name)
+                .is_some_and(|held| held.spec.is_some())
+        };
         self.peers.retain(|name, _| known(name));
     }
 
--- a/crates/entry/src/polls.rs
+++ b/crates/entry/src/polls.rs
@@ -129,10 +129,17 @@
         .header(http::header::CONNECTION, "close")
         .body(Empty::<Bytes>::new())
         .map_err(|e| malformed(&e))?;
-    let response = sender.send_request(request).await.map_err(|e| malformed(&e))?;
+    let response = sender
+        .send_request(request)
+        .await
+        .map_err(|e| malformed(&e))?;
     let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|e| PollError::Answer(e.to_string()))?.to_bytes();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await;
+    let body = body
+        .map_err(|e| PollError::Answer(e.to_string()))?
+        .to_bytes();
     drop(sender);
     driver.cancel().await;
     Ok((status, body))
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -19,13 +19,41 @@
     settings: &[
         help("name", "NAME", "name of this host, as tickets list it"),
         help("zone", "ZONE", "availability zone of this host"),
-        help("callers", "ADDRESS", "where callers and backend servers connect"),
-        help("peers", "ADDRESS", "where other processes of the system connect"),
-        help("controls", "ADDRESSES", "control replicas, with commas between them"),
-        help("token-file", "FILE", "file of the token; else WISTERIA_TOKEN"),
-        help("answer-max-age", "TIME", "how long callers keep look-up answers [5s]"),
-        help("stop-bound", "TIME", "most time that a planned stop waits for running work [60s]"),
-        help("log-level", "LEVEL", "error, warn, info, debug or trace [info]"),
+        help(
+            "callers",
+            "ADDRESS",
+            "where callers and backend servers connect",
+        ),
+        help(
+            "peers",
+            "ADDRESS",
+            "where other processes of the system connect",
+        ),
+        help(
+            "controls",
+            "ADDRESSES",
+            "control replicas, with commas between them",
+        ),
+        help(
+            "token-file",
+            "FILE",
+            "file of the token; else WISTERIA_TOKEN",
+        ),
+        help(
+            "answer-max-age",
+            "TIME",
+            "how long callers keep look-up answers [5s]",
+        ),
+        help(
+            "stop-bound",
+            "TIME",
+            "most time that a planned stop waits for running work [60s]",
+        ),
+        help(
+            "log-level",
+            "LEVEL",
+            "error, warn, info, debug or trace [info]",
+        ),
         help("log-json", "", "one JSON object a line"),
     ],
 };
--- a/crates/entry/src/steering.rs
+++ b/crates/entry/src/steering.rs
@@ -65,7 +65,9 @@
         let demand: Vec<_> = routes
             .demand(now)
             .into_iter()
-            .map(|place| json!({ "service": place.service, "zone": place.zone, "rate": place.rate }))
+            .map(
+                |place| json!({ "service": place.service, "zone": place.zone, "rate": place.rate }),
+            )
             .collect();
         json!({ "revision": routes.revision(), "demand": demand })
     }
--- a/crates/feed/src/watcher.rs
+++ b/crates/feed/src/watcher.rs
@@ -111,7 +111,7 @@
             }
             let advanced = self.holder.view().stamp() > before;
             failures = if advanced { 0 } else { failures + 1 };
-            turn = if advanced { 0 } else { turn + 1 };
+            turn += 1;
             self.back_off(failures, sources.len()).await;
         }
     }
