--- a/crates/cli/tests/usage_is_checked_at_once.rs
+++ b/crates/cli/tests/usage_is_checked_at_once.rs
@@ -53,13 +53,9 @@
     faults(
         "check a.toml b.toml",
         &[],
-<<<<<<< HEAD
         &expect![[
             r#"ClientArgs { command: Check { files: ["a.toml", "b.toml"] }, format: Table, timeout: 10s, controls: [], token: (not shown) }"#
         ]],
-=======
-        &expect![[r#"ClientArgs { command: Check { files: ["a.toml", "b.toml"] }, format: Table, timeout: 10s, controls: [], token: (not shown) }"#]],
->>>>>>> main
     );
 }
 
@@ -73,12 +69,8 @@
     faults(
         "show link/a/b --timeout 2s",
         &env,
-<<<<<<< HEAD
         &expect![[
             r#"ClientArgs { command: Show(ObjectFilter { kind: Some(Link), name: Some("a/b") }), format: Json, timeout: 2s, controls: [127.0.0.1:1, 127.0.0.1:2], token: (not shown) }"#
         ]],
-=======
-        &expect![[r#"ClientArgs { command: Show(ObjectFilter { kind: Some(Link), name: Some("a/b") }), format: Json, timeout: 2s, controls: [127.0.0.1:1, 127.0.0.1:2], token: (not shown) }"#]],
->>>>>>> main
     );
 }
