feat(standin): stand-in backend servers and an open-loop load tool

Promises need backend servers that die, lie and go silent on order, and a measurement without coordinated omission. One process hosts many servers; faults of a connection sit in a wrapper below the HTTP library, so that the library's own framing serves every other request. A stand-in's answer carries the digest of its request, by which a caller tells foreign and cut answers.

The load tool sends at scheduled times whatever became of earlier requests, measures from the scheduled time, counts runs by key at the servers, and runs two baselines on the same sequence.

--- a/crates/proof/src/cluster.rs
+++ b/crates/proof/src/cluster.rs
@@ -189,7 +189,7 @@
             let mut plan = ProcessPlan::new("wisteria-standin", &format!("s{}", index + 1))
                 .arg("backend")
                 .flag("service", &backend.service)
-                .flag("zone", &backend.zone)
+                .flag("zones", &backend.zone)
                 .flag("servers", backend.servers)
                 .flag("control", control)
                 .flag("entries", joined(&entries));
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,19 @@
 //! Stand-in backend servers and load tool, for proof only.
+//!
+//! The program `wisteria-standin` has two commands. `backend` hosts servers that behave as the
+//! brief's backend servers do, faults included. `load` sends seeded requests as callers do, and
+//! measures what became of them.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`backend`] | stand-in backend servers |
+//! | [`load`] | the load tool |
+//! | [`client`] | HTTP calls on kept connections, with whole answers |
+//! | [`digest`] | how a caller knows the answer to its own request |
+//! | [`error`] | why a command ended |
+
+pub mod backend;
+pub mod client;
+pub mod digest;
+pub mod error;
+pub mod load;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,115 @@
 //! The `wisteria-standin` program.
 
-fn main() {}
+use std::ffi::OsString;
+use std::fs;
+use std::io::{self, Write};
+use std::process::ExitCode;
+
+use async_std::task;
+use log::LevelFilter;
+use settings::reader::SettingReader;
+use standin::backend::process;
+use standin::backend::settings as backend_settings;
+use standin::error::StandinError;
+use standin::load::run;
+use standin::load::settings as load_settings;
+use telemetry::logs::{self, LogSettings};
+
+const HELP: &str = "\
+Stand-in backend servers and load tool, for proof only
+
+Usage: wisteria-standin COMMAND [FLAGS]
+
+Commands:
+  backend    hosts stand-in backend servers
+  load       sends seeded requests and measures what became of them
+
+Each command has its own --help.
+";
+
+fn main() -> ExitCode {
+    let mut args: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let command = match args.first().map(|arg| arg.to_string_lossy().into_owned()) {
+        Some(command) => {
+            args.remove(0);
+            command
+        }
+        None => String::new(),
+    };
+    let help = args.iter().any(|arg| arg == "--help");
+    match (command.as_str(), help) {
+        ("backend", true) => print(&format!("{}\n", backend_settings::HELP)),
+        ("load", true) => print(&format!("{}\n", load_settings::HELP)),
+        ("backend", false) => end(backend(args)),
+        ("load", false) => end(load(args)),
+        ("--help", _) => print(HELP),
+        ("--version", _) => print(concat!(
+            "wisteria-standin ",
+            env!("CARGO_PKG_VERSION"),
+            "\n"
+        )),
+        _ => {
+            // A reader that has gone away needs no message.
+            let _ = io::stderr().write_all(HELP.as_bytes());
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn backend(args: Vec<OsString>) -> Result<ExitCode, StandinError> {
+    let settings = backend_settings::BackendSettings::try_from(reader(args))?;
+    start_logs()?;
+    task::block_on(task::spawn(process::run(settings)))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Exits with 1 where something happened that must not.
+fn load(args: Vec<OsString>) -> Result<ExitCode, StandinError> {
+    let settings = load_settings::LoadSettings::try_from(reader(args))?;
+    start_logs()?;
+    let scenario = run::read_scenario(&settings)?;
+    let json = settings.json.clone();
+    let report = task::block_on(task::spawn(
+        async move { run::run(settings, &scenario).await },
+    ))?;
+    if let Some(path) = json {
+        let text = serde_json::to_string_pretty(&report).unwrap_or_default();
+        fs::write(path, text)?;
+    }
+    print(&report.tables());
+    if report.is_clean() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(ExitCode::FAILURE)
+}
+
+fn reader(args: Vec<OsString>) -> SettingReader {
+    let env = std::env::vars_os()
+        .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)));
+    SettingReader::new(args, env)
+}
+
+fn start_logs() -> Result<(), StandinError> {
+    logs::start(LogSettings {
+        level: LevelFilter::Info,
+        json: false,
+    })?;
+    Ok(())
+}
+
+fn print(text: &str) -> ExitCode {
+    // A reader that has gone away needs no message.
+    let _ = io::stdout().write_all(text.as_bytes());
+    ExitCode::SUCCESS
+}
+
+fn end(result: Result<ExitCode, StandinError>) -> ExitCode {
+    match result {
+        Ok(code) => code,
+        Err(e) => {
+            // A reader that has gone away needs no message.
+            let _ = writeln!(io::stderr(), "wisteria-standin: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
