feat(standin): quick start of the whole path, and a caller of its own

A newcomer needs one command that starts every process, submits a ticket and shows that requests of each kind get their own whole answers. A shell client was ruled out: it can't tell a foreign or cut answer, so the script uses the load tool's caller. The load endpoint now gives running and waiting requests apart, and the client asks entry hosts at /ready.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -160,8 +160,20 @@
         if answer.status != StatusCode::Ok {
             return Err(refusal(&answer));
         }
-        serde_json::from_slice(&answer.body)
-            .map_err(|e| ClientError::Unknown(format!("{address} answered oddly: {e}")))
+        read(address, &answer)
+    }
+
+    /// Asks an entry host how it is, whether it is ready or not.
+    ///
+    /// # Errors
+    ///
+    /// Gives [`ClientError::Unknown`] where it gives no answer.
+    pub async fn readiness<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+    ) -> Result<T, ClientError> {
+        let call = self.call(address, Method::Get, "/ready", Vec::new());
+        read(address, &call.await?)
     }
 
     async fn call(
@@ -215,6 +227,11 @@
     }
 }
 
+fn read<T: DeserializeOwned>(address: SocketAddr, answer: &CallAnswer) -> Result<T, ClientError> {
+    serde_json::from_slice(&answer.body)
+        .map_err(|e| ClientError::Unknown(format!("{address} answered oddly: {e}")))
+}
+
 /// Reads a verdict; other refusals are errors.
 fn read_verdict(answer: &CallAnswer) -> Result<TicketVerdict, ClientError> {
     match answer.status {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -258,7 +258,7 @@
 /// Asks every entry host in force for its revision, all at once.
 async fn hosts(client: &ControlClient, state: &ForceState) -> Vec<HostRow> {
     let calls = state::live(&state.hosts).map(|(name, spec)| async move {
-        let status: Result<Value, _> = client.query_at(spec.callers, "/v1/status").await;
+        let status: Result<Value, _> = client.readiness(spec.callers).await;
         let row = HostRow {
             name: name.to_string(),
             zone: spec.zone.clone(),
@@ -278,7 +278,7 @@
         };
     };
     HostRow {
-        condition: text(status, "condition"),
+        condition: text(status, "standing"),
         revision: status["revision"].as_u64(),
         ..row
     }
--- a/crates/standin/src/backend/server.rs
+++ b/crates/standin/src/backend/server.rs
@@ -22,10 +22,10 @@
     pub utilisation: f64,
     /// Requests that it works on at once.
     pub slots: u32,
-    /// Requests that it works on or that wait.
+    /// Requests that it works on.
     pub in_flight: usize,
-    /// Age of these figures, in milliseconds.
-    pub age_ms: u64,
+    /// Requests that wait for a slot.
+    pub queued: usize,
 }
 
 /// A server in the list of `GET /control/servers`.
@@ -182,6 +182,7 @@
             Some(FaultKind::LieIdle) => Some(LoadWord {
                 utilisation: 0.0,
                 in_flight: 0,
+                queued: 0,
                 ..self.true_load()
             }),
             Some(FaultKind::FreezeReports) => lock(&self.frozen).clone(),
@@ -212,12 +213,13 @@
     }
 
     fn true_load(&self) -> LoadWord {
-        let in_flight = self.in_flight();
+        let held = self.in_flight();
+        let in_flight = held.min(self.work.slots as usize);
         LoadWord {
-            utilisation: in_flight as f64 / f64::from(self.work.slots),
+            utilisation: held as f64 / f64::from(self.work.slots),
             slots: self.work.slots,
             in_flight,
-            age_ms: 0,
+            queued: held - in_flight,
         }
     }
 }
--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -32,6 +32,12 @@
             source(err)
             display("{err}")
         }
+        /// No free address was found.
+        Ports(err: proof::error::ProofError) {
+            from()
+            source(err)
+            display("{err}")
+        }
         /// A step of a scenario gave something else than it needs.
         Scenario(text: String) {
             display("{text}")
--- a/crates/standin/src/load/caller.rs
+++ b/crates/standin/src/load/caller.rs
@@ -166,7 +166,7 @@
     }
 
     /// Returns the entry hosts for a zone, from the kept answer while it is fresh.
-    async fn hosts(&self, zone: &str) -> Vec<HostWord> {
+    pub async fn hosts(&self, zone: &str) -> Vec<HostWord> {
         let kept = self.kept(zone);
         if let Some(list) = &kept {
             if list.until > Instant::now() {
--- a/crates/standin/src/load/cluster.rs
+++ b/crates/standin/src/load/cluster.rs
@@ -101,7 +101,7 @@
         let start = Instant::now();
         let waits = self.hosts.iter().map(|host| async move {
             while start.elapsed() < TICKET_BOUND {
-                let path = "/v1/status";
+                let path = "/ready";
                 let status = self.call(host.callers, Method::GET, path, Bytes::new());
                 let status = status.await.ok().and_then(|a| read::<Value>(&a).ok());
                 let held = status.and_then(|status| status["revision"].as_u64());
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -10,6 +10,7 @@
 use settings::reader::SettingReader;
 use standin::backend::process;
 use standin::backend::settings as backend_settings;
+use standin::caller;
 use standin::error::StandinError;
 use standin::load::run;
 use standin::load::settings as load_settings;
@@ -23,6 +24,8 @@
 Commands:
   backend    hosts stand-in backend servers
   load       sends seeded requests and measures what became of them
+  caller     makes one request of each kind and tells what was answered
+  ports      names COUNT free loopback addresses
 
 Each command has its own --help.
 ";
@@ -42,6 +45,9 @@
         ("load", true) => print(&format!("{}\n", load_settings::HELP)),
         ("backend", false) => end(backend(args)),
         ("load", false) => end(load(args)),
+        ("caller", true) => print(&format!("{}\n", caller::HELP)),
+        ("caller", false) => end(call(args)),
+        ("ports", false) => end(ports(&args)),
         ("--help", _) => print(HELP),
         ("--version", _) => print(concat!(
             "wisteria-standin ",
@@ -83,6 +89,26 @@
     Ok(ExitCode::FAILURE)
 }
 
+/// Exits with 1 where a request got no whole answer of its own.
+fn call(args: Vec<OsString>) -> Result<ExitCode, StandinError> {
+    let settings = caller::CallerSettings::try_from(reader(args))?;
+    let steps = task::block_on(task::spawn(caller::run(settings)))?;
+    let lines: String = steps.iter().map(|step| format!("{step}\n")).collect();
+    print(&lines);
+    if steps.iter().all(caller::CallerStep::is_answered) {
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(ExitCode::FAILURE)
+}
+
+fn ports(args: &[OsString]) -> Result<ExitCode, StandinError> {
+    let count = args.first().and_then(|arg| arg.to_str()?.parse().ok());
+    for _ in 0..count.unwrap_or(1) {
+        print(&format!("{}\n", proof::ports::free_address()?));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn reader(args: Vec<OsString>) -> SettingReader {
     let env = std::env::vars_os()
         .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)));
