--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -51,12 +51,13 @@
     /// Creates what a process with these settings shares.
     pub fn new(settings: EntrySettings, clock: TimeSource, metrics: MetricRegistry) -> Self {
         let peers = PeerTable::new(clock.now(), settings.name.clone());
+        let registry = Arc::new(BackendRegistry::new());
         Self {
             settings,
             clock,
             holder: Arc::default(),
-            registry: Arc::default(),
-            steering: HostSteering::new(),
+            steering: HostSteering::new(Arc::clone(&registry)),
+            registry,
             metrics,
             incarnation: start_number(),
             exchanges: ExchangeCounts::default(),
@@ -107,5 +108,7 @@
 /// Returns a number that grows with each start, from the time of day.
 fn start_number() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
+    since.map_or(0, |since| {
+        u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+    })
 }
