--- /dev/null
+++ b/crates/control/tests/process_interface.rs
@@ -0,0 +1,215 @@
+//! What the other processes of the system may send to a replica and what they get.
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use common::{cluster, leader, others, put, region, submit, verdict};
+use proof::cluster::{ProofCluster, TOKEN};
+use rstest::rstest;
+use tonic::{Code, Status};
+use wire::dial::{self, TokenChannel};
+use wire::token::AccessToken;
+use wire::v1;
+use wire::v1::feed_client::FeedClient;
+use wire::v1::feed_event::Kind;
+use wire::v1::replica_client::ReplicaClient;
+use wire::v1::shares_client::SharesClient;
+
+/// Runs calls in a task, where the runtime is at hand.
+fn block_on<T: Send + 'static>(work: impl std::future::Future<Output = T> + Send + 'static) -> T {
+    async_std::task::block_on(async_std::task::spawn(work))
+}
+
+async fn dial(address: SocketAddr, token: &str) -> TokenChannel {
+    dial::connect(address, &AccessToken::new(token))
+        .await
+        .unwrap()
+}
+
+fn code<T>(answer: Result<T, Status>) -> Code {
+    answer.err().map_or(Code::Ok, |status| status.code())
+}
+
+#[test]
+fn every_call_needs_the_token() {
+    let cluster = ProofCluster::plan()
+        .replicas(1)
+        .entry_hosts(0)
+        .start()
+        .unwrap();
+    let address = cluster.replicas[0].peers;
+    for token in ["wrong-token-0123456789", "", "proof-token-012345678"] {
+        let codes = block_on(async move {
+            let channel = dial(address, token).await;
+            let mut replica = ReplicaClient::new(channel.clone());
+            let mut shares = SharesClient::new(channel.clone());
+            let mut feed = FeedClient::new(channel);
+            [
+                code(replica.deliver(v1::Envelope::default()).await),
+                code(replica.submit(v1::SubmitRequest::default()).await),
+                code(replica.confirm(v1::ConfirmRequest {}).await),
+                code(shares.lease(v1::LeaseRequest::default()).await),
+                code(feed.watch(v1::WatchRequest::default()).await),
+            ]
+        });
+        assert_eq!(codes, [Code::Unauthenticated; 5], "{token}");
+    }
+}
+
+#[rstest]
+#[case::for_another(2, Bytes::new(), Code::InvalidArgument)]
+#[case::no_message(1, Bytes::from_static(&[255; 40]), Code::InvalidArgument)]
+#[case::nothing(1, Bytes::new(), Code::Ok)]
+fn a_malformed_message_is_refused(#[case] to: u64, #[case] payload: Bytes, #[case] expected: Code) {
+    let cluster = ProofCluster::plan()
+        .replicas(1)
+        .entry_hosts(0)
+        .start()
+        .unwrap();
+    let address = cluster.replicas[0].peers;
+    let envelope = v1::Envelope {
+        from: 3,
+        to,
+        payload,
+        beat: None,
+    };
+    let got = block_on(async move {
+        let mut replica = ReplicaClient::new(dial(address, TOKEN).await);
+        code(replica.deliver(envelope).await)
+    });
+    assert_eq!(got, expected);
+}
+
+async fn lease(address: SocketAddr, host: &str, rate: f64) -> Result<v1::LeaseReply, Status> {
+    let demand = v1::PlaceDemand {
+        service: "s".into(),
+        zone: "n-a".into(),
+        rate,
+    };
+    let request = v1::LeaseRequest {
+        host: host.into(),
+        demand: vec![demand],
+        ..Default::default()
+    };
+    let mut shares = SharesClient::new(dial(address, TOKEN).await);
+    Ok(shares.lease(request).await?.into_inner())
+}
+
+#[test]
+fn only_the_leader_grants_shares_and_the_others_name_it() {
+    let cluster = cluster();
+    let ticket =
+        "number = 1\n[region.n]\nzones = [\"n-a\"]\ncap = 100.0\n[service.s]\nclass = \"read\"\n\
+        shift = 1.0\n[service.s.places.n-a]\ncap = 100.0\n[host.e1]\nzone = \"n-a\"\n\
+        callers = \"10.0.0.1:1\"\npeers = \"10.0.0.1:2\"\n";
+    submit(&cluster, 1, ticket);
+    let leading = leader(&cluster);
+    let leader_peers = cluster.replicas[leading].peers;
+    let other = cluster.replicas[others(leading)[0]].peers;
+    let follower = block_on(async move { lease(other, "e1", 10.0).await.unwrap() });
+    assert!(!follower.granted && follower.shares.is_empty());
+    assert_eq!(follower.leader_peers, leader_peers.to_string());
+    std::thread::sleep(Duration::from_secs(3));
+    let grant = |host: &'static str| {
+        let reply = block_on(async move { lease(leader_peers, host, 10.0).await.unwrap() });
+        assert!(reply.granted);
+        reply.shares.iter().map(|share| share.rate).sum::<f64>()
+    };
+    assert_eq!([grant("e1"), grant("unknown")], [50.0, 0.0]);
+    let refused = block_on(async move { code(lease(leader_peers, "No Name", 1.0).await) });
+    assert_eq!(refused, Code::InvalidArgument);
+}
+
+/// Follows a replica's feed for a while, and returns the revisions and stamps that came.
+fn follow(address: SocketAddr, time: Duration) -> (Vec<u64>, Vec<v1::Beat>) {
+    block_on(async move {
+        let mut feed = FeedClient::new(dial(address, TOKEN).await);
+        let mut events = feed
+            .watch(v1::WatchRequest::default())
+            .await
+            .unwrap()
+            .into_inner();
+        let (mut revisions, mut beats) = (Vec::new(), Vec::new());
+        let until = Instant::now() + time;
+        while let Ok(event) = async_std::future::timeout(
+            until.saturating_duration_since(Instant::now()),
+            events.message(),
+        )
+        .await
+        {
+            match event.unwrap().unwrap().kind.unwrap() {
+                Kind::Snapshot(snapshot) => revisions.push(snapshot.revision),
+                Kind::Change(change) => revisions.push(change.revision),
+                Kind::Beat(beat) => beats.push(beat),
+            }
+        }
+        (revisions, beats)
+    })
+}
+
+#[test]
+fn every_replica_streams_the_state_and_the_leaders_stamps_until_the_quorum_is_lost() {
+    let mut cluster = cluster();
+    for number in 1..=3 {
+        submit(&cluster, number, &region(number, "north", 1));
+    }
+    for replica in &cluster.replicas {
+        let (revisions, beats) = follow(replica.peers, Duration::from_secs(2));
+        assert_eq!(revisions.last(), Some(&3));
+        assert!(beats.len() >= 5, "{beats:?}");
+        let stamps: Vec<_> = beats
+            .iter()
+            .map(|beat| (beat.term, beat.sequence))
+            .collect();
+        assert!(stamps.is_sorted(), "{stamps:?}");
+        assert_eq!(beats.last().unwrap().revision, 3);
+    }
+    let kept = leader(&cluster);
+    for place in others(kept) {
+        cluster.replicas[place].process.kill().unwrap();
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    let (_, beats) = follow(cluster.replicas[kept].peers, Duration::from_secs(2));
+    assert!(
+        beats.len() <= 1,
+        "a leader without a quorum stamped: {beats:?}"
+    );
+}
+
+#[test]
+fn a_planned_stop_hands_the_leadership_over_and_cuts_no_answer() {
+    let mut cluster = cluster();
+    submit(&cluster, 1, &region(1, "north", 1));
+    let stopped = leader(&cluster);
+    let other = others(stopped)[0];
+    let known = std::thread::scope(|scope| {
+        let replicas = &cluster.replicas;
+        let sender = scope.spawn(move || {
+            let answers =
+                (10..60).map(|n| put(&replicas[other], n, &region(n, &format!("r{n}"), 1)));
+            answers.collect::<Vec<_>>()
+        });
+        std::thread::sleep(Duration::from_millis(100));
+        replicas[stopped].process.terminate().unwrap();
+        sender.join().unwrap()
+    });
+    let code = cluster.replicas[stopped]
+        .process
+        .wait_exit(common::BOUND)
+        .unwrap();
+    assert_eq!(code, Some(0));
+    let statuses: Vec<_> = known
+        .iter()
+        .map(|answer| answer.as_ref().unwrap().0)
+        .collect();
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    cluster.replicas[stopped].process.restart().unwrap();
+    assert_eq!(
+        verdict(&cluster.replicas[stopped], 59)["verdict"],
+        "accepted"
+    );
+}
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -228,7 +228,7 @@
     let test = std::env::current_exe()?;
     let folder = test.parent().unwrap_or(Path::new("."));
     let folder = match folder.file_name() {
-        Some(name) if name == "deps" => folder.parent().unwrap_or(folder),
+        Some(name) if name == "deps" || name == "examples" => folder.parent().unwrap_or(folder),
         _ => folder,
     };
     let path = folder.join(program);
