fix(control): a new leader stamps nothing before it has applied what was accepted

Cause: the lease alone allowed a stamp. A restarted leader holds accepted tickets in its log but applies them only once its first entry is committed; until then it stamped an older revision as fresh, by which an entry host that had just started would have taken old state as confirmed. Ruled out: a read round before each stamp, which costs a message round and says no more than an applied entry of the own term does.

Messages to other replicas that wait longer than 500 ms are dropped, so that a process that stood still doesn't pass on an old stamp as fresh. Verdicts name at most 50 faults, as 10,000 of them are kept. The core and the store are split by what they do; queries stand apart from commands.

--- a/crates/control/examples/ticket_figures.rs
+++ b/crates/control/examples/ticket_figures.rs
@@ -28,6 +28,9 @@
 /// Services that the tickets touch in turn.
 const SERVICES: u64 = 36;
 
+/// Leaders that are killed after each other.
+const FAILOVERS: u64 = 5;
+
 const BOUND: Duration = Duration::from_secs(30);
 
 fn main() {
@@ -38,14 +41,20 @@
         .unwrap();
     let addresses: Vec<_> = cluster.replicas.iter().map(|r| r.operators).collect();
     cluster.submit(1, &base_ticket(), BOUND).unwrap();
-    let leader = leader(&addresses);
 
-    let (one, one_time) = submit_all(addresses[leader], 2, SEQUENTIAL, 1);
+    let leading = leader(&addresses);
+    let (one, one_time) = submit_all(addresses[leading], 2, SEQUENTIAL, 1);
     print_run("one operator at the leader", &one, one_time);
     let rest = TICKETS - SEQUENTIAL - 1;
-    let (many, many_time) = submit_all(addresses[leader], SEQUENTIAL + 2, rest, OPERATORS);
+    let (many, many_time) = submit_all(addresses[leading], SEQUENTIAL + 2, rest, OPERATORS);
     print_run("32 operators at the leader", &many, many_time);
-    let follower = (leader + 1) % 3;
+    if leader(&addresses) != leading {
+        println!(
+            "{}",
+            json!({"note": "the leadership changed during the runs above"})
+        );
+    }
+    let follower = (leader(&addresses) + 1) % 3;
     let (passed, passed_time) = submit_all(addresses[follower], TICKETS + 1, SEQUENTIAL, OPERATORS);
     print_run("32 operators at a follower", &passed, passed_time);
 
@@ -58,20 +67,24 @@
         );
     }
 
+    let follower = (leader(&addresses) + 1) % 3;
     cluster.replicas[follower].process.kill().unwrap();
     let start = Instant::now();
     cluster.replicas[follower].process.restart().unwrap();
     wait_confirmed(addresses[follower]);
     print_time("a killed follower answers confirmed state again", start);
 
-    let start = Instant::now();
-    cluster.replicas[leader].process.kill().unwrap();
-    cluster
-        .submit(TICKETS + SEQUENTIAL + 1, &ticket(1), BOUND)
-        .unwrap();
-    print_time("a killed leader until the next verdict", start);
-    cluster.replicas[leader].process.restart().unwrap();
-    wait_confirmed(addresses[leader]);
+    for round in 1..=FAILOVERS {
+        let leading = leader(&addresses);
+        let number = TICKETS + SEQUENTIAL + round;
+        let start = Instant::now();
+        cluster.replicas[leading].process.kill().unwrap();
+        let answer = cluster.submit(number, &ticket(number), BOUND).unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        print_time("a killed leader until the next verdict", start);
+        cluster.replicas[leading].process.restart().unwrap();
+        wait_confirmed(addresses[leading]);
+    }
 
     for replica in &mut cluster.replicas {
         replica.process.kill().unwrap();
--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -134,7 +134,7 @@
     pub term: quorum::ids::Term,
     /// Leader of the term, where known.
     pub leader: Option<quorum::ids::ReplicaId>,
-    /// Whether it leads and a quorum answered it lately.
+    /// Whether it leads, a quorum answered it lately, and it has applied all that is accepted.
     pub lease: bool,
     /// Last committed entry.
     pub commit: quorum::ids::LogIndex,
--- /dev/null
+++ b/crates/control/src/core/views.rs
@@ -0,0 +1,75 @@
+//! What the replica tells of itself; nothing here changes it.
+
+use std::time::Instant;
+
+use model::ids;
+
+use super::ReplicaCore;
+use crate::call::{HostStatus, StatusReport, TicketSummary};
+
+impl ReplicaCore {
+    pub(super) fn ticket(&self, number: ids::TicketNumber) -> Option<TicketSummary> {
+        let record = self.book.record(number)?;
+        Some(TicketSummary {
+            number,
+            digest: record.digest.clone(),
+            verdict: record.verdict.clone(),
+        })
+    }
+
+    pub(super) fn tickets(&self, limit: usize) -> Vec<TicketSummary> {
+        let numbers = self.book.records().map(|(number, _)| number);
+        numbers
+            .take(limit)
+            .filter_map(|number| self.ticket(number))
+            .collect()
+    }
+
+    pub(super) fn status(&self, now: Instant) -> StatusReport {
+        let age = |at: Instant| now.saturating_duration_since(at).as_millis();
+        let hosts = self.reports.iter().map(|(host, (at, report))| {
+            let status = HostStatus {
+                revision: report.revision,
+                digest: report.digest,
+                age_ms: u64::try_from(age(*at)).unwrap_or(u64::MAX),
+            };
+            (host.clone(), status)
+        });
+        StatusReport {
+            id: self.settings.id,
+            role: self.machine.role().into(),
+            term: self.machine.term(),
+            leader: self.machine.leader(),
+            lease: self.speaks_for_quorum(now),
+            commit: self.machine.commit_index(),
+            applied: self.machine.applied_index(),
+            revision: self.book.state().revision,
+            digest: self.book.state().digest,
+            hosts: hosts.collect(),
+        }
+    }
+
+    /// Returns the whole state, without secrets.
+    pub(super) fn dump(&self, now: Instant) -> serde_json::Value {
+        let settings = &self.settings;
+        let verdicts: Vec<_> = self.tickets(usize::MAX);
+        serde_json::json!({
+            "settings": {
+                "id": settings.id,
+                "replicas": settings.replicas,
+                "operators": settings.operators,
+                "zone": settings.zone,
+                "data_folder": settings.data_folder,
+                "verdict_window": settings.verdict_window,
+                "snapshot_every": settings.snapshot_every,
+            },
+            "status": self.status(now),
+            "quorum": self.machine.report(now),
+            "state": self.book.state(),
+            "verdicts": verdicts,
+            "shares": self.shares.summary(),
+            "waiting": self.pending.len(),
+            "beats": self.beats,
+        })
+    }
+}
--- a/crates/control/src/operator/views.rs
+++ b/crates/control/src/operator/views.rs
@@ -71,9 +71,15 @@
     ))
 }
 
-/// Answers `GET /ready`: a quorum answered the leader lately, as far as this replica knows.
+/// Answers `GET /ready`: the disk works and a leader with a quorum was heard lately.
 pub(crate) async fn ready(request: Request<OperatorContext>) -> tide::Result {
-    let age = request.state().holder.view().beat_age(Instant::now());
+    let context = request.state();
+    let status = context.core.ask(CoreCall::Status).await;
+    if status.is_none_or(|status| status.role == "failed") {
+        let reason = "the replica's disk failed, or it is stopping";
+        return Ok(answers::refusal(StatusCode::ServiceUnavailable, reason));
+    }
+    let age = context.holder.view().beat_age(Instant::now());
     if age.is_some_and(|age| age < READY_AGE) {
         return Ok(answers::json_answer(
             StatusCode::Ok,
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::{future, task};
 use bytes::Bytes;
@@ -25,17 +25,20 @@
 /// connection may have gone silent for good while new ones work.
 #[derive(Debug, Clone)]
 pub struct PeerLink {
-    queue: mpsc::Sender<v1::Envelope>,
+    queue: mpsc::Sender<QueuedEnvelope>,
     dropped: Arc<AtomicU64>,
 }
 
+/// A message and when it was queued.
+type QueuedEnvelope = (Instant, v1::Envelope);
+
 /// What a link's task needs.
 #[derive(Debug)]
 struct LinkTask {
     peer: ids::ReplicaId,
     address: SocketAddr,
     token: AccessToken,
-    queue: mpsc::Receiver<v1::Envelope>,
+    queue: mpsc::Receiver<QueuedEnvelope>,
 }
 
 impl PeerLink {
@@ -48,6 +51,10 @@
     /// Time in which a message of no size must be answered.
     pub const SEND_TIMEOUT: Duration = Duration::from_millis(300);
 
+    /// Age above which a message is dropped: a process that stood still must not pass on a stamp as
+    /// fresh that it made before.
+    pub const MAX_AGE: Duration = Duration::from_millis(500);
+
     /// Bytes for which a millisecond is added to the time.
     pub const BYTES_PER_MILLISECOND: u64 = 2_000;
 
@@ -72,7 +79,7 @@
 
     /// Queues a message, or drops it where too many wait.
     pub fn offer(&self, envelope: v1::Envelope) {
-        if self.queue.try_send(envelope).is_err() {
+        if self.queue.try_send((Instant::now(), envelope)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -85,7 +92,7 @@
 
 impl LinkTask {
     async fn run(mut self) {
-        while let Some(envelope) = self.queue.recv().await {
+        while let Some(envelope) = self.next().await {
             let Some(channel) = self.dial().await else {
                 continue;
             };
@@ -96,6 +103,16 @@
         }
     }
 
+    /// Waits for the next message that is not too old.
+    async fn next(&mut self) -> Option<v1::Envelope> {
+        loop {
+            let (queued_at, envelope) = self.queue.recv().await?;
+            if queued_at.elapsed() <= PeerLink::MAX_AGE {
+                return Some(envelope);
+            }
+        }
+    }
+
     async fn dial(&mut self) -> Option<TokenChannel> {
         let dialled = future::timeout(
             dial::CONNECT_TIMEOUT,
@@ -126,11 +143,11 @@
                 continue;
             }
             if sending.is_empty() {
-                let envelope = self.queue.recv().await?;
+                let envelope = self.next().await?;
                 sending.push(deliver(client.clone(), envelope));
                 continue;
             }
-            let next = std::pin::pin!(self.queue.recv());
+            let next = std::pin::pin!(self.next());
             match select::select(next, sending.next()).await {
                 Either::Left((Some(envelope), _)) => {
                     sending.push(deliver(client.clone(), envelope));
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -34,6 +34,9 @@
     /// Verdicts kept by default.
     pub const WINDOW: usize = 10_000;
 
+    /// Most faults that a verdict names; verdicts are kept for long.
+    pub const MAX_FAULTS: usize = 50;
+
     /// Creates a book without tickets that keeps the verdicts on the highest `window` numbers.
     pub fn new(window: usize) -> Self {
         Self {
@@ -108,8 +111,9 @@
             let object = key.to_string();
             return TicketVerdict::Superseded { object, by };
         }
-        let faults = self.state.faults_after(ticket);
+        let mut faults = self.state.faults_after(ticket);
         if !faults.is_empty() {
+            faults.truncate(Self::MAX_FAULTS);
             return TicketVerdict::Invalid { faults };
         }
         TicketVerdict::Accepted {
--- a/crates/ledger/tests/one_verdict_a_number.rs
+++ b/crates/ledger/tests/one_verdict_a_number.rs
@@ -72,3 +72,18 @@
     assert_eq!(back, book);
     assert_eq!(serde_json::to_vec(&back).unwrap(), json);
 }
+
+#[test]
+fn a_verdict_names_a_bounded_number_of_faults() {
+    let mut text = "number = 1\n".to_string();
+    for block in 0..200 {
+        text.push_str(&format!(
+            "[block.\"10.0.{block}.0/24\"]\nzone = \"nowhere\"\n"
+        ));
+    }
+    let ticket = ChangeTicket::try_from(RawTicket::from_toml(&text).unwrap()).unwrap();
+    match TicketBook::new(3).submit(&ticket) {
+        TicketVerdict::Invalid { faults } => assert_eq!(faults.len(), TicketBook::MAX_FAULTS),
+        other => panic!("{other}"),
+    }
+}
