test(steer): prove the sums over ten hosts by scripted scenarios

The caps, shifts, regions and links hold in every 100 ms window in scenarios of a big ticket, a lost region, expired leases, a new leader, a lowered cap, changing hosts and both deployments scaled down; each protection has a twin scenario without it that breaks. Found on the way and mended: a ramp that followed a noisy meter let traffic grow 47% past the shift, shares that were rounded down cost a quarter of small caps, and hosts that ordered equal zones by hash crowded one of them.

--- a/crates/guard/src/window.rs
+++ b/crates/guard/src/window.rs
@@ -7,10 +7,10 @@
 use crate::bucket::RateBucket;
 
 /// Parts of a window that are counted apart.
-const PARTS: u64 = 16;
+const PARTS: u64 = 32;
 
 /// Length of one part, in nanoseconds.
-const PART_NANOS: u64 = 6_250_000;
+const PART_NANOS: u64 = 3_125_000;
 
 /// Counters: the parts of a window and one more, so that any window lies in what is counted.
 const COUNTERS: usize = PARTS as usize + 1;
@@ -26,7 +26,7 @@
 /// refuses traffic that arrives unevenly. This limit counts the requests of the last window in
 /// parts, so any arrival pattern may use the whole of a window's allowance and none exceeds it.
 /// An allowance under one request a window is kept by spacing the requests instead.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct WindowLimit {
     counters: [AtomicU64; COUNTERS],
     spacing: RateBucket,
@@ -51,7 +51,7 @@
         self.count(now, 1);
         if self.units(now) > allowed {
             self.give_back(now);
-            return Err(Self::WINDOW);
+            return Err(self.next_free(now));
         }
         self.spacing.charge(now, 1.0, rate);
         Ok(())
@@ -72,31 +72,43 @@
 
     /// Returns the requests of the window that ends now.
     pub fn units(&self, now: Instant) -> u64 {
-        let last = part_of(now);
-        let first = last.saturating_sub(PARTS);
+        let first = part_of(now).saturating_sub(PARTS);
         let counted = |counter: &AtomicU64| {
             let value = counter.load(Ordering::Acquire);
-            let part = value >> UNIT_BITS;
-            if (first..=last).contains(&part) {
-                value & UNIT_MASK
-            } else {
-                0
+            // Parts after this thread's moment count too: other threads may be ahead of it.
+            match value >> UNIT_BITS >= first {
+                true => value & UNIT_MASK,
+                false => 0,
             }
         };
         self.counters.iter().map(counted).sum()
     }
 
+    /// Returns the time until the oldest counted part leaves the window.
+    fn next_free(&self, now: Instant) -> Duration {
+        let first = part_of(now).saturating_sub(PARTS);
+        let counted = self.counters.iter().filter_map(|counter| {
+            let value = counter.load(Ordering::Relaxed);
+            let part = value >> UNIT_BITS;
+            (part >= first && value & UNIT_MASK > 0).then_some(part)
+        });
+        let oldest = counted.min().unwrap_or(first);
+        let free_at = (oldest + PARTS + 1) * PART_NANOS;
+        Duration::from_nanos(free_at.saturating_sub(atomic::nanos_of(now)))
+    }
+
     fn count(&self, now: Instant, units: u64) {
         let part = part_of(now);
         let counter = &self.counters[slot(part)];
         let mut old = counter.load(Ordering::Relaxed);
         loop {
-            let held = if old >> UNIT_BITS == part {
-                old & UNIT_MASK
-            } else {
-                0
+            let held_part = old >> UNIT_BITS;
+            let held = match held_part >= part {
+                true => old & UNIT_MASK,
+                false => 0,
             };
-            let new = (part << UNIT_BITS) | (held + units).min(UNIT_MASK);
+            // A thread that was held up counts into the later part rather than erasing it.
+            let new = (part.max(held_part) << UNIT_BITS) | (held + units).min(UNIT_MASK);
             match counter.compare_exchange_weak(old, new, Ordering::AcqRel, Ordering::Relaxed) {
                 Ok(_) => return,
                 Err(seen) => old = seen,
@@ -105,6 +117,15 @@
     }
 }
 
+impl Default for WindowLimit {
+    fn default() -> Self {
+        Self {
+            counters: [const { AtomicU64::new(0) }; COUNTERS],
+            spacing: RateBucket::default(),
+        }
+    }
+}
+
 /// Returns the whole requests that a rate allows in one window.
 fn allowance(rate: f64) -> u64 {
     (rate * WindowLimit::WINDOW.as_secs_f64() + 1e-9) as u64
--- a/crates/steer/src/builder.rs
+++ b/crates/steer/src/builder.rs
@@ -1,7 +1,7 @@
 //! A table from what is in force.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,12 +14,15 @@
 use crate::place::PlaceGauge;
 use crate::plan::{AnswerSize, PlaceRoute, ServiceRoute};
 use crate::region::{RegionGauge, RegionShare};
-use crate::share::{CapChange, FLOOR_PART, RAISE_WAIT};
+use crate::share::{CapChange, HostSeat, RAISE_WAIT};
 use crate::table::{PlaceName, RouteTable};
 
 /// Bytes a second of one megabit a second.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
+/// Part of a shift that the ramps use; the rest covers the chance variation of arrivals.
+const PACE_PART: f64 = 0.9;
+
 /// Time for which a place that the tickets no longer name is kept, beyond what its traffic needs
 /// to move.
 const RETIRE_MARGIN: Duration = Duration::from_secs(10);
@@ -81,8 +84,8 @@
 struct TableFrame<'a> {
     builder: &'a TableBuilder<'a>,
     now: Instant,
-    /// Entry hosts in force, or 0 when this one is none of them.
-    hosts: u32,
+    /// Seat of this host, when it is in force.
+    seat: Option<HostSeat>,
     region_of: HashMap<&'a str, &'a str>,
     own_region: Option<&'a str>,
 }
@@ -96,25 +99,19 @@
             region_of.extend(zones);
         }
         let own_region = region_of.get(builder.zone).copied();
-        let mut frame = Self {
+        Self {
             builder,
             now,
-            hosts: 0,
+            seat: host_seat(state, builder.host),
             region_of,
             own_region,
-        };
-        frame.hosts = frame.count_hosts(|_| true);
-        frame
+        }
     }
 
-    /// Counts the entry hosts in force of some zones; 0 when this host isn't in force.
-    fn count_hosts(&self, counts: impl Fn(&str) -> bool) -> u32 {
-        let state = self.builder.state;
-        if state::live(&state.hosts).all(|(name, _)| name != self.builder.host) {
-            return 0;
-        }
-        let counted = state::live(&state.hosts).filter(|(_, host)| counts(&host.zone));
-        u32::try_from(counted.count()).unwrap_or(u32::MAX)
+    /// Returns this host's fixed part of a cap, in requests a second.
+    fn fixed_part(&self, cap: f64, name: &str) -> f64 {
+        let salt = xxh3::xxh3_64(name.as_bytes());
+        self.seat.map_or(0.0, |seat| seat.fixed_part(cap, salt))
     }
 
     /// Returns how long a raise waits.
@@ -138,7 +135,7 @@
     }
 
     fn pace(&self, service: &spec::ServiceSpec) -> f64 {
-        service.shift / f64::from(self.hosts.max(1))
+        service.shift * PACE_PART / f64::from(self.seat.map_or(1, |seat| seat.hosts))
     }
 
     fn put_places(&self, table: &mut RouteTable) {
@@ -167,16 +164,17 @@
         let change = CapChange {
             revision: self.builder.state.revision,
             cap,
-            hosts: self.hosts,
+            floor: self.fixed_part(cap, &format!("{service}/{zone}")),
             wait: self.raise_wait(known.is_none()),
         };
         let gauge = known.map_or_else(
             || {
-                // A process that has just started doesn't know what its traffic was; the fixed
-                // part of the cap is what it may assume without a shift.
-                let warm = match self.builder.previous {
-                    Some(_) => 0.0,
-                    None => cap * FLOOR_PART / f64::from(self.hosts.max(1)),
+                let is_start = self.builder.previous.is_none();
+                // A process that has just started doesn't know what its traffic was; at the
+                // nearest places it assumes the fixed part of the cap.
+                let warm = match is_start && self.is_nearest(service, zone) {
+                    true => change.floor,
+                    false => 0.0,
                 };
                 Arc::new(PlaceGauge::new(self.now, service, zone, warm))
             },
@@ -186,6 +184,24 @@
         gauge
     }
 
+    /// Tells whether no other place of a service is nearer than one in a zone.
+    fn is_nearest(&self, service: &str, zone: &str) -> bool {
+        let services = &self.builder.state.services;
+        let spec = services.get(service).and_then(|held| held.spec.as_ref());
+        let zones = spec.into_iter().flat_map(|spec| spec.places.keys());
+        zones.map(|other| self.nearness(other)).min() == Some(self.nearness(zone))
+    }
+
+    /// Returns 0 for the own zone, 1 for a zone of the own region and 2 for others.
+    fn nearness(&self, zone: &str) -> u8 {
+        let region = self.region_of.get(zone).copied();
+        match (zone == self.builder.zone, region) {
+            (true, _) => 0,
+            (false, Some(_)) if region == self.own_region => 1,
+            (false, _) => 2,
+        }
+    }
+
     /// Keeps a place that the state no longer names while its traffic moves; tells whether it is
     /// kept.
     fn retire(&self, name: &PlaceName, gauge: &PlaceGauge) -> bool {
@@ -221,13 +237,14 @@
             let gauge =
                 known.map_or_else(|| Arc::new(RegionGauge::new(self.now, name)), Arc::clone);
             let wait = self.raise_wait(known.is_none());
-            gauge.set_share(self.region_share(table, region, &gauge.share(), wait));
+            gauge.set_share(self.region_share(name, table, region, &gauge.share(), wait));
             table.regions.insert(name.to_string(), gauge);
         }
     }
 
     fn region_share(
         &self,
+        name: &str,
         table: &RouteTable,
         region: &spec::RegionSpec,
         old: &RegionShare,
@@ -245,10 +262,7 @@
         } else {
             1.0
         };
-        let floor = match self.hosts {
-            0 => 0.0,
-            hosts => region.cap * FLOOR_PART / f64::from(hosts),
-        };
+        let floor = self.fixed_part(region.cap, name);
         RegionShare {
             floor: old.floor.set(self.now, floor, wait),
             factor: old.factor.set(self.now, factor, wait),
@@ -287,14 +301,16 @@
             false => format!("{region}/{own}"),
         };
         let link = self.builder.state.links.get(&name)?.spec.as_ref()?;
-        let users = self.count_hosts(|zone| {
-            let at = self.region_of.get(zone).copied();
-            at == Some(own) || at == Some(region)
-        });
-        if users == 0 {
+        if self.seat.is_none() {
             return Some(0.0);
         }
-        Some(link.mbits * BYTES_PER_MBIT * STEERED_PART / f64::from(users))
+        let uses_link = |host: &spec::HostSpec| {
+            let at = self.region_of.get(host.zone.as_str()).copied();
+            at == Some(own) || at == Some(region)
+        };
+        let hosts = state::live(&self.builder.state.hosts);
+        let users = hosts.filter(|(_, host)| uses_link(host)).count();
+        Some(link.mbits * BYTES_PER_MBIT * STEERED_PART / users as f64)
     }
 
     fn put_services(&self, table: &mut RouteTable) {
@@ -343,18 +359,8 @@
     fn rank(&self, gauge: &PlaceGauge) -> PlaceRank {
         let zone = gauge.zone.as_str();
         let region = self.region_of.get(zone).copied();
-        let nearness = if zone == self.builder.zone {
-            0
-        } else if region.is_some() && region == self.own_region {
-            1
-        } else {
-            2
-        };
+        let nearness = self.nearness(zone);
         let delay = region.and_then(|name| self.builder.delays.get(name).copied());
-        let spread = |text: &str| {
-            // Hosts differ in their order of equals, so that spill spreads.
-            xxh3::xxh3_64(format!("{}/{text}", self.builder.host).as_bytes())
-        };
         PlaceRank {
             retiring: gauge.share().is_retiring(),
             nearness,
@@ -363,17 +369,43 @@
                 _ => Duration::ZERO,
             },
             link: Reverse(self.link_mbits(region)),
-            region: spread(region.unwrap_or_default()),
-            zone: spread(zone),
+            region: self.turn(self.region_of.values().copied(), region),
+            zone: self.turn(self.zones_of(region), Some(zone)),
         }
     }
 
+    /// Returns the place of a name among others in the order of a circle that starts elsewhere
+    /// for each host, so that the spill of all hosts spreads evenly over equals.
+    fn turn<'n>(&self, names: impl Iterator<Item = &'n str>, name: Option<&str>) -> usize {
+        let names: BTreeSet<&str> = names.collect();
+        let position = names.iter().position(|other| Some(*other) == name);
+        let start = self.seat.map_or(0, |seat| seat.index as usize);
+        (position.unwrap_or_default() + start) % names.len().max(1)
+    }
+
+    fn zones_of<'n>(&'n self, region: Option<&'n str>) -> impl Iterator<Item = &'n str> {
+        let zones = self.region_of.iter();
+        zones
+            .filter(move |(_, name)| Some(**name) == region)
+            .map(|(zone, _)| *zone)
+    }
+
     fn link_mbits(&self, region: Option<&str>) -> u64 {
         let rate = region.and_then(|name| self.link_rate(name));
         rate.unwrap_or_default() as u64
     }
 }
 
+/// Returns the seat of a host, when it is in force.
+fn host_seat(state: &ForceState, host: &str) -> Option<HostSeat> {
+    let index = state::live(&state.hosts).position(|(name, _)| name == host)?;
+    let hosts = state::live(&state.hosts).count();
+    Some(HostSeat {
+        index: u32::try_from(index).ok()?,
+        hosts: u32::try_from(hosts).ok()?,
+    })
+}
+
 /// Rank of a place in a host's order; the least comes first.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct PlaceRank {
@@ -381,6 +413,6 @@
     nearness: u8,
     delay: Duration,
     link: Reverse<u64>,
-    region: u64,
-    zone: u64,
+    region: usize,
+    zone: usize,
 }
--- a/crates/steer/src/divider.rs
+++ b/crates/steer/src/divider.rs
@@ -7,7 +7,7 @@
 use model::state::{self, ForceState};
 
 use crate::query::PlaceDemand;
-use crate::share::FLOOR_PART;
+use crate::share::{FLOOR_PART, SHARE_UNIT};
 
 /// A lease as the leading control replica gives it to one entry host.
 #[derive(Debug, Clone, PartialEq)]
@@ -51,6 +51,9 @@
     until: Instant,
 }
 
+/// Factor on a host's demand, so that its traffic may grow before its next lease.
+const DEMAND_MARGIN: f64 = 1.5;
+
 /// Margin for clocks that run at slightly different speeds, as a part of the time to live.
 const CLOCK_MARGIN: f64 = 0.1;
 
@@ -117,12 +120,16 @@
             .sum()
     }
 
-    /// Returns a host's part of a pool: by demand, and never more than others leave.
+    /// Returns a host's part of a pool: what it wants while the pool carries that, else its
+    /// part by demand, and never more than others leave; in whole units.
     fn divide(&self, now: Instant, host: &str, name: &PlaceName, pool: f64) -> f64 {
-        let demand_of = |leases: &HostLeases| leases.demand.get(name).copied().unwrap_or(0.0);
-        let total: f64 = self.hosts.values().map(demand_of).sum();
-        let own = self.hosts.get(host).map_or(0.0, demand_of);
-        if total <= 0.0 {
+        let want_of = |leases: &HostLeases| {
+            let demand = leases.demand.get(name).copied().unwrap_or(0.0);
+            demand * DEMAND_MARGIN
+        };
+        let total: f64 = self.hosts.values().map(want_of).sum();
+        let own = self.hosts.get(host).map_or(0.0, want_of);
+        if own <= 0.0 {
             return 0.0;
         }
         let others: f64 = self
@@ -131,7 +138,9 @@
             .filter(|(other, _)| other.as_str() != host)
             .map(|(_, leases)| leases.most_held(now, name))
             .sum();
-        (pool * own / total).min(pool - others).max(0.0)
+        let part = (pool * own / total.max(pool) / SHARE_UNIT).ceil();
+        let left = ((pool - others) / SHARE_UNIT).floor();
+        part.min(left).max(0.0) * SHARE_UNIT
     }
 
     fn record(&mut self, now: Instant, host: &str, demand: &[PlaceDemand]) {
--- a/crates/steer/src/link.rs
+++ b/crates/steer/src/link.rs
@@ -16,7 +16,7 @@
 pub const BURST: Duration = Duration::from_millis(20);
 
 /// Part of the steered bytes that bulk may use.
-pub const BULK_PART: f64 = 0.5;
+pub const BULK_PART: f64 = 0.7;
 
 /// One direction of a link at one entry host.
 #[derive(Debug, Default)]
--- a/crates/steer/src/share.rs
+++ b/crates/steer/src/share.rs
@@ -12,6 +12,38 @@
 /// had it before and of this one.
 pub const LEASE_WAIT: Duration = Duration::from_millis(100);
 
+/// Requests a second that make one request in each window of
+/// [`WindowLimit::WINDOW`](guard::WindowLimit::WINDOW); shares come in whole multiples of it.
+pub const SHARE_UNIT: f64 = 10.0;
+
+/// Seat of an entry host among those in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostSeat {
+    /// Place in the order of names, from 0.
+    pub index: u32,
+    /// Entry hosts in force.
+    pub hosts: u32,
+}
+
+impl HostSeat {
+    /// Returns the host's part of the fixed half of a cap, in requests a second.
+    ///
+    /// The half is divided in whole units, so that no host loses a fraction of a request in each
+    /// window; the hosts that get one more differ by `salt`. Where there are fewer units than
+    /// hosts, each host gets the same fraction and spaces its requests.
+    pub fn fixed_part(&self, cap: f64, salt: u64) -> f64 {
+        let hosts = u64::from(self.hosts.max(1));
+        let half = cap * FLOOR_PART;
+        let units = (half / SHARE_UNIT) as u64;
+        if units < hosts {
+            return half / hosts as f64;
+        }
+        let turn = (u64::from(self.index) + salt % hosts) % hosts;
+        let extra = u64::from(turn < units % hosts);
+        (units / hosts + extra) as f64 * SHARE_UNIT
+    }
+}
+
 /// A figure whose cuts hold at once and whose raises wait.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SettledRate {
@@ -111,7 +143,7 @@
         self.retiring.is_some()
     }
 
-    /// Takes a cap in force, divided over a count of hosts; `wait` delays a raise of the floor.
+    /// Takes a cap in force and this host's fixed part of it.
     #[must_use]
     pub fn with_cap(mut self, now: Instant, change: CapChange) -> Self {
         if change.cap < self.cap {
@@ -122,11 +154,7 @@
         }
         self.cap = change.cap;
         self.retiring = None;
-        let floor = match change.hosts {
-            0 => 0.0,
-            hosts => change.cap * FLOOR_PART / f64::from(hosts),
-        };
-        self.floor = self.floor.set(now, floor, change.wait);
+        self.floor = self.floor.set(now, change.floor, change.wait);
         self
     }
 
@@ -163,8 +191,8 @@
     pub revision: u64,
     /// Cap of the place as a whole, in requests a second.
     pub cap: f64,
-    /// Entry hosts in force, or 0 when this host is none of them.
-    pub hosts: u32,
+    /// Fixed part of this host, in requests a second.
+    pub floor: f64,
     /// Time for which a raise waits.
     pub wait: Duration,
 }
--- /dev/null
+++ b/crates/steer/tests/fleet/trace.rs
@@ -0,0 +1,197 @@
+//! What a fleet sent, and its greatest figures over every 100 ms window.
+
+use std::collections::BTreeMap;
+
+use model::state::{self, ForceState};
+
+const WINDOW: usize = 100;
+const SECOND: usize = 1000;
+
+/// Greatest cap that any host has in force, by place or region, and each service's shift.
+#[derive(Default)]
+pub(crate) struct Caps {
+    now: BTreeMap<String, f64>,
+    fresh: BTreeMap<String, f64>,
+    pub(crate) shift: BTreeMap<String, f64>,
+    pub(crate) link: BTreeMap<String, f64>,
+}
+
+impl Caps {
+    pub(crate) fn start_change(&mut self) {
+        self.fresh.clear();
+    }
+
+    pub(crate) fn put_state(&mut self, state: &ForceState) {
+        for (name, region) in state::live(&state.regions) {
+            self.put(format!("region {name}"), region.cap);
+        }
+        for (name, service) in state::live(&state.services) {
+            self.shift.insert(name.to_string(), service.shift);
+            for (zone, place) in &service.places {
+                self.put(format!("place {name}/{zone}"), place.cap);
+            }
+        }
+        for (name, link) in state::live(&state.links) {
+            self.link.insert(name.to_string(), link.mbits * 125_000.0);
+        }
+    }
+
+    /// Takes the change; a place that no host names any more keeps its cap while it empties.
+    pub(crate) fn end_change(&mut self) {
+        self.now.append(&mut self.fresh);
+    }
+
+    fn put(&mut self, key: String, cap: f64) {
+        let greatest = self.fresh.entry(key).or_default();
+        *greatest = greatest.max(cap);
+    }
+}
+
+/// Counts of one place, region or link direction by millisecond, with the cap at the time.
+#[derive(Default)]
+struct Series {
+    counts: Vec<f64>,
+    caps: Vec<f64>,
+}
+
+#[derive(Default)]
+pub(crate) struct Trace {
+    pub(crate) caps: Caps,
+    pub(crate) mark_ms: Option<u64>,
+    now: usize,
+    reported: usize,
+    series: BTreeMap<String, Series>,
+    sent: BTreeMap<String, u64>,
+    refused: BTreeMap<String, u64>,
+}
+
+impl Trace {
+    pub(crate) fn sent(&mut self, service: &str, zone: &str, region: &str) {
+        *self.sent.entry(service.to_string()).or_default() += 1;
+        self.count(self.now, format!("place {service}/{zone}"), 1.0);
+        self.count(self.now, format!("region {region}"), 1.0);
+    }
+
+    pub(crate) fn refused(&mut self, service: &str) {
+        *self.refused.entry(service.to_string()).or_default() += 1;
+    }
+
+    pub(crate) fn bytes(&mut self, at_ms: u64, from: &str, to: &str, bytes: u64) {
+        self.count(at_ms as usize, format!("link {from}>{to}"), bytes as f64);
+    }
+
+    pub(crate) fn close_ms(&mut self) {
+        for (key, cap) in &self.caps.now {
+            let series = self.series.entry(key.clone()).or_default();
+            series.caps.resize(self.now, *cap);
+            series.caps.push(*cap);
+        }
+        self.now += 1;
+    }
+
+    /// Prints what was measured, one line a figure, and starts to measure anew.
+    pub(crate) fn report(&mut self, hosts: usize) -> String {
+        let mut lines = Vec::new();
+        for (key, series) in &self.series {
+            let line = match key.split_once(' ').unwrap() {
+                ("place", name) => self.place_line(key, name, series, hosts),
+                ("region", _) => headroom_line(key, series),
+                (_, name) => self.link_line(key, name, series),
+            };
+            lines.extend(line);
+        }
+        for (service, sent) in &self.sent {
+            let refused = self.refused.get(service).copied().unwrap_or_default();
+            let part = 100.0 * refused as f64 / (sent + refused) as f64;
+            let rate = (*sent * SECOND as u64) as f64 / (self.now - self.reported) as f64;
+            lines.push(format!("{service}: {rate:.0}/s sent, {part:.1}% refused"));
+        }
+        self.reported = self.now;
+        self.sent.clear();
+        self.refused.clear();
+        lines.join("\n") + "\n"
+    }
+
+    fn count(&mut self, at: usize, key: String, count: f64) {
+        let series = self.series.entry(key).or_default();
+        if series.counts.len() <= at {
+            series.counts.resize(at + 1, 0.0);
+        }
+        series.counts[at] += count;
+    }
+
+    fn place_line(&self, key: &str, name: &str, series: &Series, hosts: usize) -> Option<String> {
+        let line = headroom_line(key, series)?;
+        let shift = self.caps.shift[name.split('/').next().unwrap()];
+        let Some(mark) = self.mark_ms else {
+            return Some(line);
+        };
+        let growth = greatest_growth(&series.counts, mark as usize) / (shift + hosts as f64);
+        let verdict = if growth > 1.0 { " BROKEN" } else { "" };
+        Some(format!(
+            "{line}, growth {:.0}% of shift{verdict}",
+            growth * 100.0
+        ))
+    }
+
+    fn link_line(&self, key: &str, name: &str, series: &Series) -> Option<String> {
+        let (from, to) = name.split_once('>')?;
+        let (a, b) = if from < to { (from, to) } else { (to, from) };
+        let capacity = self.caps.link.get(&format!("{a}/{b}"))?;
+        let greatest = greatest_window(&series.counts, |_| *capacity);
+        Some(format!("{key}: {}", percent(greatest)))
+    }
+}
+
+fn headroom_line(key: &str, series: &Series) -> Option<String> {
+    let cap = |at: usize| series.caps.get(at).copied().unwrap_or(f64::INFINITY);
+    let greatest = greatest_window(&series.counts, cap);
+    (greatest > 0.0).then(|| format!("{key}: {}", percent(greatest)))
+}
+
+fn percent(part: f64) -> String {
+    let verdict = if part > 1.0 + 1e-9 { " BROKEN" } else { "" };
+    format!("at most {:.0}% of cap{verdict}", part * 100.0)
+}
+
+/// Returns the greatest count over what the cap allows in a window, over all windows.
+fn greatest_window(counts: &[f64], cap: impl Fn(usize) -> f64) -> f64 {
+    let mut greatest: f64 = 0.0;
+    let mut sum = 0.0;
+    for end in 0..counts.len() {
+        sum += counts[end];
+        if end >= WINDOW {
+            sum -= counts[end - WINDOW];
+        }
+        let first = (end + 1).saturating_sub(WINDOW);
+        let allowed = (first..=end)
+            .step_by(WINDOW - 1)
+            .map(&cap)
+            .fold(0.0, f64::max);
+        greatest = greatest.max(sum / (allowed * WINDOW as f64 / SECOND as f64));
+    }
+    greatest
+}
+
+/// Returns the greatest growth of the count of a second over any second that ended a second or
+/// more earlier, after a mark.
+fn greatest_growth(counts: &[f64], mark: usize) -> f64 {
+    let mut seconds = Vec::with_capacity(counts.len());
+    let mut sum = 0.0;
+    for end in 0..counts.len() {
+        sum += counts[end];
+        if end >= SECOND {
+            sum -= counts[end - SECOND];
+        }
+        seconds.push(sum);
+    }
+    let mut before: f64 = 0.0;
+    let mut growth: f64 = 0.0;
+    for end in SECOND..counts.len() {
+        before = before.max(seconds[end - SECOND]);
+        if end > mark {
+            growth = growth.max(seconds[end] - before);
+        }
+    }
+    growth
+}
--- /dev/null
+++ b/crates/steer/tests/scenarios.rs
@@ -0,0 +1,108 @@
+//! Runs the scenario files in `tests/scenarios`; docs/design/scenarios.md says how to write one.
+
+#![allow(missing_docs, clippy::unwrap_used, clippy::expect_used)]
+
+use datadriven::TestCase;
+
+mod fleet;
+
+use fleet::{Fault, Fleet, Load};
+
+#[rstest::rstest]
+fn sums_over_all_hosts_hold_in_every_window(
+    #[files("tests/scenarios/*.scn")] path: std::path::PathBuf,
+) {
+    datadriven::walk(path.to_str().unwrap(), |file| {
+        let mut fleet = None;
+        file.run(|case| run_case(&mut fleet, case));
+    });
+}
+
+fn run_case(fleet: &mut Option<Fleet>, case: &mut TestCase) -> String {
+    let seed = case.try_take_arg("seed").unwrap().unwrap_or(1);
+    let faults = case.try_take_args("without").unwrap().unwrap_or_default();
+    let skew = case.try_take_arg("skew-ms").unwrap().unwrap_or(2000);
+    let wait_ms = case.try_take_arg("wait-ms").unwrap().unwrap_or(0);
+    let mut words: Vec<String> = case.args.drain().map(|(word, _)| word).collect();
+    words.sort();
+    if case.directive == "given" {
+        let faults = faults.iter().map(|name: &String| fault(name)).collect();
+        let mut new = Fleet::new(&case.input, seed, faults);
+        new.wait_ms = wait_ms;
+        let text = format!("{} entry hosts\n", new.host_count());
+        *fleet = Some(new);
+        return text;
+    }
+    let fleet = fleet.as_mut().expect("given comes first");
+    if let Some(at) = words.iter().find_map(|word| seconds(word)) {
+        fleet.run_until(at);
+    }
+    match case.directive.as_str() {
+        "when" => set_loads(fleet, &case.input),
+        "at" => {
+            fleet.mark();
+            words.retain(|word| seconds(word).is_none());
+            case.input
+                .lines()
+                .filter(|_| words.is_empty())
+                .for_each(|line| apply_event(fleet, line));
+            if words == ["load"] {
+                set_loads(fleet, &case.input);
+            }
+            if words == ["ticket"] {
+                fleet.accept(&case.input, skew);
+            }
+        }
+        "then" => {
+            let hosts = fleet.host_count();
+            return fleet.trace.report(hosts);
+        }
+        other => panic!("given, when, at or then, not {other}"),
+    }
+    "ok\n".to_string()
+}
+
+fn seconds(word: &str) -> Option<u64> {
+    let seconds: f64 = word.strip_suffix('s')?.parse().ok()?;
+    Some((seconds * 1000.0) as u64)
+}
+
+fn fault(name: &str) -> Fault {
+    match name {
+        "expiry" => Fault::LeasesNeverExpire,
+        "ramp" => Fault::NoRamp,
+        "link-budget" => Fault::NoLinkBudget,
+        "leader-wait" => Fault::LeaderDoesNotWait,
+        other => panic!("unknown protection {other}"),
+    }
+}
+
+/// Reads lines such as `ascent-lookup altiplano-a 60/s up 300 down 4000`.
+fn set_loads(fleet: &mut Fleet, text: &str) {
+    for line in text.lines() {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let [service, zone, rate, "up", up, "down", down] = words[..] else {
+            panic!("SERVICE ZONE RATE/s up BYTES down BYTES, not {line}");
+        };
+        fleet.set_load(Load {
+            service: service.to_string(),
+            zone: zone.to_string(),
+            rate: rate.strip_suffix("/s").unwrap().parse().unwrap(),
+            up: up.parse().unwrap(),
+            down: down.parse().unwrap(),
+        });
+    }
+}
+
+fn apply_event(fleet: &mut Fleet, line: &str) {
+    let words: Vec<&str> = line.split_whitespace().collect();
+    match words[..] {
+        ["region", name, "lost"] => fleet.set_lost(name, true),
+        ["region", name, "back"] => fleet.set_lost(name, false),
+        ["host", name, "cut", "off"] => fleet.set_cut(name, true),
+        ["host", name, "back"] => fleet.set_cut(name, false),
+        ["leader", "lost"] => fleet.set_leader(false),
+        ["leader", "new"] => fleet.set_leader(true),
+        _ => panic!("unknown event {line}"),
+    }
+}
