feat(forward): count requests, bound held bodies, refuse HTTP/1.0

A caller of HTTP/1.0 can't tell a cut long answer from a whole one, so it is refused before anything runs. Bodies of requests that are held share 64 MiB, and a caller that takes no byte for 30 s loses its connection.

--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -152,13 +152,22 @@
 
 /// Sets the options of a socket and gives a second handle on it.
 fn set_options(stream: &TcpStream) -> io::Result<socket2::Socket> {
+    set_timeouts(stream, USER_TIMEOUT)?;
+    socket2::SockRef::from(stream).try_clone()
+}
+
+/// Ends a connection whose other side is gone or takes no bytes, after a time.
+///
+/// # Errors
+///
+/// Fails where the socket refuses an option.
+pub(crate) fn set_timeouts(stream: &TcpStream, limit: Duration) -> io::Result<()> {
     let socket = socket2::SockRef::from(stream);
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    socket.set_tcp_nodelay(true)?;
-    socket.try_clone()
+    socket.set_tcp_user_timeout(Some(limit))?;
+    socket.set_tcp_nodelay(true)
 }
--- a/crates/forward/src/facts.rs
+++ b/crates/forward/src/facts.rs
@@ -44,6 +44,7 @@
         request_id: &HeaderValue,
         settings: &ForwardSettings,
     ) -> Result<Self, RequestRefusal> {
+        check_version(parts.version)?;
         check_host(parts)?;
         let service = read_service(parts.uri.path())?;
         let idempotent = read_method(&parts.method)?;
@@ -82,11 +83,23 @@
     HeaderValue::try_from(text).unwrap_or_else(|_| HeaderValue::from_static("none"))
 }
 
+/// Refuses HTTP/1.0, in which a long answer that was cut looks like a whole one.
+fn check_version(version: Version) -> Result<(), RequestRefusal> {
+    if version == Version::HTTP_11 {
+        return Ok(());
+    }
+    Err(RequestRefusal::not_run(
+        StatusCode::HTTP_VERSION_NOT_SUPPORTED,
+        RefusalReason::BadRequest,
+        "requests to services use HTTP/1.1",
+    ))
+}
+
 fn check_host(parts: &request::Parts) -> Result<(), RequestRefusal> {
     let hosts = parts.headers.get_all(header::HOST).iter().count();
     match hosts {
         1 => Ok(()),
-        0 if parts.version == Version::HTTP_10 || parts.uri.authority().is_some() => Ok(()),
+        0 if parts.uri.authority().is_some() => Ok(()),
         _ => Err(RequestRefusal::malformed("a request has one host header")),
     }
 }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -20,7 +20,9 @@
 use crate::edges::ClaimEdge;
 use crate::facts::{self, RequestFacts};
 use crate::headers;
+use crate::hold::{HoldBudget, HoldPermit};
 use crate::lease::RouteLease;
+use crate::metrics::{ExtraAttempt, ForwardMetrics};
 use crate::pool::PoolMap;
 use crate::refusal::RequestRefusal;
 use crate::routes::{RouteQuery, RouteSession, RouteTable};
@@ -34,6 +36,8 @@
     routes: Arc<RouteTable>,
     claims: Arc<dyn ClaimEdge>,
     pools: PoolMap,
+    holds: HoldBudget,
+    metrics: Option<ForwardMetrics>,
 }
 
 /// A request that is being forwarded.
@@ -42,6 +46,7 @@
     plan: AttemptPlan,
     body: Option<RequestBody>,
     upload: Option<Arc<UploadState>>,
+    _hold: Option<HoldPermit>,
     /// Why the last attempt brought no answer.
     reason: RefusalReason,
 }
@@ -132,13 +137,22 @@
         claims: Arc<dyn ClaimEdge>,
     ) -> Self {
         Self {
+            holds: HoldBudget::new(settings.max_held_bytes),
             settings,
             routes,
             claims,
             pools: PoolMap::default(),
+            metrics: None,
         }
     }
 
+    /// Counts requests and attempts.
+    #[must_use]
+    pub fn metrics(mut self, metrics: ForwardMetrics) -> Self {
+        self.metrics = Some(metrics);
+        self
+    }
+
     /// Returns the bounds and times.
     pub fn settings(&self) -> &ForwardSettings {
         &self.settings
@@ -156,6 +170,7 @@
 
     /// Forwards a request and gives its answer, or the refusal that its caller is told.
     pub async fn forward(self: &Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let start = Instant::now();
         let (parts, incoming) = request.into_parts();
         let (id, result) = match facts::read_request_id(&parts.headers) {
             Ok(id) => {
@@ -164,12 +179,28 @@
             }
             Err(refusal) => (facts::make_request_id(), Err(refusal)),
         };
+        self.count(&result, start);
         let mut response = result.unwrap_or_else(|refusal| refusal.to_response().map(Into::into));
         let name = HeaderName::from_static(outcome::REQUEST_ID_HEADER);
         response.headers_mut().insert(name, id);
         response
     }
 
+    fn count(&self, result: &AnswerResult, start: Instant) {
+        if let Some(metrics) = &self.metrics {
+            match result {
+                Ok(_) => metrics.answered(start.elapsed()),
+                Err(refusal) => metrics.refused(refusal),
+            }
+        }
+    }
+
+    fn count_extra(&self, why: ExtraAttempt) {
+        if let Some(metrics) = &self.metrics {
+            metrics.extra(why);
+        }
+    }
+
     async fn answer(
         self: &Arc<Self>,
         parts: request::Parts,
@@ -178,17 +209,34 @@
     ) -> AnswerResult {
         let facts = RequestFacts::read(&parts, id, &self.settings)?;
         let due = Instant::now() + facts.allowed;
+        let hold = self.hold(&facts)?;
         let reading = self.read_body(&facts, incoming);
         let Ok(body) = tokio::time::timeout_at(due.into(), reading).await else {
             return Err(late(&SentCount::default()));
         };
-        let run = self.start_run(parts, facts, body?, due)?;
+        let mut run = start_run(parts, facts, body?, due)?;
+        run._hold = hold;
         match run.claim() {
             Some(claim) => self.clone().answer_claimed(run, claim).await,
             None => self.answer_in_time(run).await,
         }
     }
 
+    /// Takes memory for a body that is going to be held.
+    fn hold(&self, facts: &RequestFacts) -> Result<Option<HoldPermit>, RequestRefusal> {
+        let bound = self.settings.hold_bytes as u64;
+        let bytes = match facts.body_bytes {
+            Some(bytes) if bytes == 0 || bytes > bound => return Ok(None),
+            Some(bytes) => bytes,
+            None => bound,
+        };
+        let permit = self.holds.try_take(bytes);
+        permit.map(Some).ok_or_else(|| {
+            let message = "this entry host holds too many bodies";
+            RequestRefusal::no_room(RefusalReason::Overloaded, attempt::RETRY_AFTER, message)
+        })
+    }
+
     /// Holds a body up to the bound, or passes it on while it arrives.
     async fn read_body(
         &self,
@@ -212,34 +260,6 @@
         })
     }
 
-    fn start_run(
-        &self,
-        parts: request::Parts,
-        facts: RequestFacts,
-        body: RequestBody,
-        due: Instant,
-    ) -> Result<ForwardRun, RequestRefusal> {
-        let upload = match &body {
-            RequestBody::Held(_) => None,
-            RequestBody::Streamed(upload) => Some(upload.state()),
-        };
-        let plan = AttemptPlan {
-            target: target_of(&parts.uri)?,
-            headers: headers_to_pass_on(parts.headers, &parts.uri, &facts),
-            method: parts.method,
-            request_id: facts.request_id.clone(),
-            due,
-            sent: SentCount::default(),
-        };
-        Ok(ForwardRun {
-            facts,
-            plan,
-            body: Some(body),
-            upload,
-            reason: RefusalReason::BackendFailed,
-        })
-    }
-
     /// Runs under a key in a task of its own, so that it ends also when its caller leaves.
     async fn answer_claimed(self: Arc<Self>, run: ForwardRun, claim: ClaimRequest) -> AnswerResult {
         let sent = run.plan.sent.clone();
@@ -287,6 +307,9 @@
             let Some(body) = run.take_body() else {
                 break;
             };
+            if number > 0 {
+                self.count_extra(ExtraAttempt::Retry);
+            }
             let lease = match session.next_lease(Instant::now()) {
                 Ok(lease) => lease,
                 Err(refusal) if number == 0 => return Err(refusal),
@@ -346,6 +369,7 @@
         let Some(lease) = hedge_lease(session) else {
             return first.await;
         };
+        self.count_extra(ExtraAttempt::Hedge);
         let second = Box::pin(runner.run(lease, ConnectionChoice::New, copy));
         let end = match future::select(first, second).await {
             Either::Left((end @ AttemptEnd::Answered(_), _))
@@ -383,6 +407,35 @@
     None
 }
 
+/// Prepares a request for its attempts.
+fn start_run(
+    parts: request::Parts,
+    facts: RequestFacts,
+    body: RequestBody,
+    due: Instant,
+) -> Result<ForwardRun, RequestRefusal> {
+    let upload = match &body {
+        RequestBody::Held(_) => None,
+        RequestBody::Streamed(upload) => Some(upload.state()),
+    };
+    let plan = AttemptPlan {
+        target: target_of(&parts.uri)?,
+        headers: headers_to_pass_on(parts.headers, &parts.uri, &facts),
+        method: parts.method,
+        request_id: facts.request_id.clone(),
+        due,
+        sent: SentCount::default(),
+    };
+    Ok(ForwardRun {
+        facts,
+        plan,
+        body: Some(body),
+        upload,
+        _hold: None,
+        reason: RefusalReason::BackendFailed,
+    })
+}
+
 /// Says that the deadline of a request passed.
 fn late(sent: &SentCount) -> RequestRefusal {
     let message = "the request can't be answered before its deadline";
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`claimed`] | runs under an idempotency key |
 //! | [`refusal`] | answers made here, with their outcome and reason |
 //! | [`body`] | bodies that count and never pass on a part as a whole |
+//! | [`metrics`] | counters of the request path |
 //! | [`headers`] | headers that belong to one connection only |
 
 pub mod body;
@@ -28,6 +29,7 @@
 pub mod forwarder;
 pub mod headers;
 pub mod lease;
+pub mod metrics;
 pub mod refusal;
 pub mod routes;
 pub mod server;
@@ -36,5 +38,6 @@
 
 mod attempt;
 mod connection;
+mod hold;
 mod pool;
 mod tap;
--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 
 use crate::body::AnswerBody;
+use crate::connection;
 use crate::edges::{CallerAddress, OtherRoutes};
 use crate::facts;
 use crate::forwarder::RequestForwarder;
@@ -37,6 +38,8 @@
 const LINGER_BYTES: usize = 4 << 20;
 /// Time between two looks for idle connections to backend servers.
 const REAP_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time that a caller takes no byte of its answer.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Most bytes of a body of a request that is not forwarded.
@@ -154,15 +157,18 @@
         peer: SocketAddr,
         permit: OwnedSemaphorePermit,
     ) {
-        let _ = stream.set_nodelay(true);
+        if let Err(err) = connection::set_timeouts(&stream, CALLER_TIMEOUT) {
+            log::debug!(target: "forward", "{peer}: {err}");
+            return;
+        }
         let mut phase = self.phase.subscribe();
         let settings = self.forwarder.settings();
         let tap = HeadTap::new(settings.max_head_bytes);
         let service = service_fn(|request| Box::pin(self.serve_request(request, peer, &tap)));
         let io = TokioIo::new(TappedStream::new(stream, tap.clone()));
-        let mut connection = server_builder(settings).serve_connection(io, service);
+        let mut http = server_builder(settings).serve_connection(io, service);
         let closed = Box::pin(wait_closed(&mut phase));
-        let serving = future::poll_fn(|cx| connection.poll_without_shutdown(cx));
+        let serving = future::poll_fn(|cx| http.poll_without_shutdown(cx));
         let ended = match future::select(serving, closed).await {
             Either::Left((ended, _)) => Some(ended),
             Either::Right(_) => None,
@@ -170,14 +176,14 @@
         let ended = match ended {
             Some(ended) => ended,
             None => {
-                Pin::new(&mut connection).graceful_shutdown();
-                future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await
+                Pin::new(&mut http).graceful_shutdown();
+                future::poll_fn(|cx| http.poll_without_shutdown(cx)).await
             }
         };
         if let Err(err) = ended {
             log::debug!(target: "forward", "{peer}: {err}");
         }
-        let io = connection.into_parts().io;
+        let io = http.into_parts().io;
         linger(io.into_inner().into_inner()).await;
         drop(permit);
     }
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -17,6 +17,8 @@
     pub max_body_bytes: u64,
     /// Bodies up to this many bytes are held whole before they are passed on.
     pub hold_bytes: usize,
+    /// Most bytes of request bodies that are held at once.
+    pub max_held_bytes: u64,
     /// Most bytes of an answer that is kept under an idempotency key.
     pub kept_answer_bytes: usize,
     /// Time that a request may take when its caller names none.
@@ -46,6 +48,7 @@
             head_timeout: Duration::from_secs(30),
             max_body_bytes: 64 << 20,
             hold_bytes: 256 << 10,
+            max_held_bytes: 64 << 20,
             kept_answer_bytes: 64 << 10,
             default_deadline: Duration::from_secs(15),
             max_deadline: Duration::from_secs(120),
--- a/crates/forward/tests/caller_contract.rs
+++ b/crates/forward/tests/caller_contract.rs
@@ -26,6 +26,7 @@
     "POST /s/svc/a HTTP/1.1\r\nhost: e\r\ntransfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n0\r\n\r\n",
     MALFORMED
 )]
+#[case::old_version("GET /s/svc/a HTTP/1.0\r\nhost: e\r\n\r\n", "505 not-run bad-request")]
 #[case::bad_deadline(
     "GET /s/svc/a HTTP/1.1\r\nhost: e\r\nwisteria-deadline-ms: x\r\n\r\n",
     MALFORMED
@@ -181,6 +182,22 @@
     assert_eq!(support::header(head, "host").unwrap(), "a.example");
 }
 
+#[test]
+fn bodies_above_the_memory_for_them_are_refused() {
+    let backend = FakeBackend::start(vec![say(&ok("x"))]);
+    let rig = Rig::with(&[&backend], |settings| settings.max_held_bytes = 100);
+    let mut slow = rig.caller();
+    slow.write(b"POST /s/svc/a HTTP/1.1\r\nhost: e\r\ncontent-length: 80\r\n\r\nx");
+    let refused = "503 not-run overloaded";
+    assert!(wait_until(|| rig
+        .ask(&post("/s/svc/a", "", &"y".repeat(40)))
+        .verdict()
+        == refused));
+    slow.write(&[b'x'; 79]);
+    assert_eq!(slow.answer(false).unwrap().status, 200);
+    assert_eq!(rig.ask(&post("/s/svc/a", "", &"y".repeat(40))).status, 200);
+}
+
 #[rstest]
 #[case::smuggled_chunk("POST /s/svc/a HTTP/1.1\r\nhost: e\r\ncontent-length: 4\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\nGET /s/svc/evil HTTP/1.1\r\nhost: e\r\n\r\n")]
 #[case::smuggled_length("POST /s/svc/a HTTP/1.1\r\nhost: e\r\ncontent-length: +4\r\n\r\nGET /s/svc/evil HTTP/1.1\r\nhost: e\r\n\r\n")]
