--- a/crates/proof/src/cluster.rs
+++ b/crates/proof/src/cluster.rs
@@ -19,6 +19,9 @@
 /// Bound on the start of one process.
 const START_BOUND: Duration = Duration::from_secs(15);
 
+/// Bound on a ticket's acceptance, and on its coming into force where a test sets none.
+const TICKET_BOUND: Duration = Duration::from_secs(20);
+
 /// Status of a submission whose verdict is not known: resend the same ticket.
 const UNKNOWN_STATUS: u16 = 503;
 
@@ -30,6 +33,7 @@
     hosts: usize,
     zones: Vec<String>,
     backends: Vec<BackendPlan>,
+    host_flags: Vec<(String, String)>,
     log_level: String,
 }
 
@@ -39,6 +43,7 @@
 pub struct BackendPlan {
     service: String,
     zone: String,
+    class: String,
     servers: usize,
     flags: Vec<(String, String)>,
 }
@@ -49,11 +54,18 @@
         Self {
             service: service.to_string(),
             zone: zone.to_string(),
+            class: "read".to_string(),
             servers: 1,
             flags: Vec::new(),
         }
     }
 
+    /// Sets the priority class of the service: `bulk`, `read` or `write`.
+    pub fn class(mut self, class: &str) -> Self {
+        self.class = class.to_string();
+        self
+    }
+
     /// Sets how many backend servers the one process hosts.
     pub fn servers(mut self, servers: usize) -> Self {
         self.servers = servers;
@@ -92,6 +104,12 @@
         self
     }
 
+    /// Adds a flag of `wisteria-entry`.
+    pub fn host_flag(mut self, name: &str, value: impl ToString) -> Self {
+        self.host_flags.push((name.to_string(), value.to_string()));
+        self
+    }
+
     /// Sets the level of the daemons' logs.
     pub fn log_level(mut self, level: &str) -> Self {
         self.log_level = level.to_string();
@@ -158,17 +176,19 @@
             let (callers, peers) = (ports::free_address()?, ports::free_address()?);
             let name = format!("e{}", index + 1);
             let zone = self.zone(index).to_string();
-            let process = ProcessPlan::new("wisteria-entry", &name)
+            let mut plan = ProcessPlan::new("wisteria-entry", &name)
                 .flag("name", &name)
                 .flag("zone", &zone)
                 .flag("callers", callers)
                 .flag("peers", peers)
                 .flag("controls", joined(&controls))
                 .flag("log-level", &self.log_level)
-                .env("WISTERIA_TOKEN", TOKEN)
-                .start(folder)?;
+                .env("WISTERIA_TOKEN", TOKEN);
+            for (name, value) in &self.host_flags {
+                plan = plan.flag(name, value);
+            }
             hosts.push(EntryHost {
-                process,
+                process: plan.start(folder)?,
                 zone,
                 callers,
                 peers,
@@ -199,6 +219,7 @@
             standins.push(BackendStandin {
                 process: plan.start(folder)?,
                 service: backend.service.clone(),
+                class: backend.class.clone(),
                 zone: backend.zone.clone(),
                 control,
             });
@@ -242,12 +263,48 @@
     pub process: ProofProcess,
     /// Service that its servers serve.
     pub service: String,
+    /// Priority class of the service.
+    pub class: String,
     /// Availability zone of its servers.
     pub zone: String,
     /// Address that takes faults and gives counts.
     pub control: SocketAddr,
 }
 
+impl EntryHost {
+    /// Returns the revision in force on the host; none where it gives no answer.
+    pub fn revision(&self) -> Option<u64> {
+        let call = HttpCall::get(self.callers, "/ready").bound(Duration::from_secs(1));
+        call.send().ok()?.json().ok()?["revision"].as_u64()
+    }
+
+    /// Tells whether the host takes new work.
+    pub fn is_ready(&self) -> bool {
+        let call = HttpCall::get(self.callers, "/ready").bound(Duration::from_secs(1));
+        call.send().is_ok_and(|answer| answer.status == 200)
+    }
+}
+
+impl BackendStandin {
+    /// Returns the JSON of one of the control endpoint's lists, such as `/control/servers`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the stand-in doesn't answer.
+    pub fn list(&self, path: &str) -> Result<serde_json::Value, ProofError> {
+        HttpCall::get(self.control, path).send()?.json()
+    }
+
+    /// Returns how often a key ran on the servers of the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the stand-in doesn't answer.
+    pub fn runs(&self, key: &str) -> Result<u64, ProofError> {
+        Ok(self.list("/control/runs")?[key].as_u64().unwrap_or(0))
+    }
+}
+
 /// A running cluster; its processes and files end with it.
 #[derive(Debug)]
 pub struct ProofCluster {
@@ -269,6 +326,7 @@
             hosts: 2,
             zones: vec!["altiplano-a".to_string()],
             backends: Vec::new(),
+            host_flags: Vec::new(),
             log_level: "info".to_string(),
         }
     }
@@ -316,16 +374,14 @@
     /// Writes a service that runs in the zones of its stand-ins, with leaving backend servers.
     pub fn service_toml(&self, service: &str, leaving: &[SocketAddr]) -> String {
         let leaving: Vec<_> = leaving.iter().map(|a| format!("\"{a}\"")).collect();
+        let own = self.standins.iter().filter(|s| s.service == service);
+        let class = own.clone().map(|s| s.class.as_str()).next();
         let mut text = format!(
-            "[service.{service}]\nclass = \"read\"\nshift = 10000.0\nleaving = [{}]\n",
+            "[service.{service}]\nclass = \"{}\"\nshift = 10000.0\nleaving = [{}]\n",
+            class.unwrap_or("read"),
             leaving.join(", ")
         );
-        let mut zones: Vec<_> = self
-            .standins
-            .iter()
-            .filter(|standin| standin.service == service)
-            .map(|standin| standin.zone.as_str())
-            .collect();
+        let mut zones: Vec<_> = own.map(|standin| standin.zone.as_str()).collect();
         zones.sort_unstable();
         zones.dedup();
         for zone in zones {
@@ -334,6 +390,60 @@
         text
     }
 
+    /// Submits a ticket that must be accepted, and returns the revision that it made.
+    ///
+    /// # Errors
+    ///
+    /// Gives [`ProofError::Refused`] where it is refused, and as [`ProofCluster::submit`].
+    pub fn accept(&self, number: u64, ticket: &str) -> Result<u64, ProofError> {
+        let answer = self.submit(number, ticket, TICKET_BOUND)?;
+        match answer.json()?["revision"].as_u64() {
+            Some(revision) if answer.status == 200 => Ok(revision),
+            _ => Err(ProofError::Refused(answer.text())),
+        }
+    }
+
+    /// Waits until a revision is in force on every running entry host.
+    ///
+    /// # Errors
+    ///
+    /// Gives [`ProofError::Timeout`] where that takes longer than the bound.
+    pub fn wait_in_force(&self, revision: u64, bound: Duration) -> Result<Duration, ProofError> {
+        let what = format!("revision {revision} in force everywhere");
+        let running = || self.hosts.iter().filter(|host| host.process.id().is_some());
+        wait::wait_until(&what, bound, || {
+            running().all(|host| host.revision().is_some_and(|held| held >= revision))
+        })
+    }
+
+    /// Submits the base ticket as number 1, and waits until every entry host serves by it.
+    ///
+    /// # Errors
+    ///
+    /// As [`ProofCluster::accept`] and [`ProofCluster::wait_in_force`].
+    pub fn set_up(&self) -> Result<u64, ProofError> {
+        let revision = self.accept(1, &self.base_ticket(1))?;
+        self.wait_in_force(revision, TICKET_BOUND)?;
+        wait::wait_until("every entry host is ready", TICKET_BOUND, || {
+            self.hosts.iter().all(EntryHost::is_ready)
+        })?;
+        for standin in &self.standins {
+            self.wait_served(&standin.service)?;
+        }
+        Ok(revision)
+    }
+
+    /// Waits until every entry host serves a read of a service.
+    fn wait_served(&self, service: &str) -> Result<Duration, ProofError> {
+        let what = format!("every entry host serves {service}");
+        wait::wait_until(&what, TICKET_BOUND, || {
+            self.hosts.iter().all(|host| {
+                let call = HttpCall::get(host.callers, format!("/s/{service}/probe"));
+                call.send().is_ok_and(|answer| answer.status == 200)
+            })
+        })
+    }
+
     /// Submits a ticket in TOML to each running replica in turn until the verdict is known.
     ///
     /// # Errors
--- a/crates/proof/src/error.rs
+++ b/crates/proof/src/error.rs
@@ -42,6 +42,10 @@
         Timeout(what: String, bound: Duration) {
             display("{what} took longer than {bound:?}")
         }
+        /// A ticket was refused.
+        Refused(why: String) {
+            display("the ticket was refused: {why}")
+        }
         /// A process is not running.
         Ended(name: String) {
             display("{name} is not running")
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -180,7 +180,8 @@
                 in_time += usize::from(record.latency <= deadline);
                 let micros = u64::try_from(record.latency.as_micros()).unwrap_or(u64::MAX);
                 if let Some(latencies) = &mut latencies {
-                    latencies.saturating_record(micros);
+                    // The histogram grows as needed; a value that it can't hold is left out.
+                    let _ = latencies.record(micros);
                 }
                 continue;
             }
--- a/crates/standin/src/load/run.rs
+++ b/crates/standin/src/load/run.rs
@@ -84,11 +84,9 @@
         cluster,
         seed: scenario.seed,
     };
-    let base = ticket::base(&run.deployment, &run.cluster.hosts, run.next_ticket);
-    run.next_ticket += 1;
-    let revision = run.cluster.submit(&base).await?;
-    let waited = run.cluster.wait_in_force(revision).await?;
-    log::info!(target: "load", "the base ticket is in force everywhere after {waited:?}");
+    if scenario.policies.contains(&SteeringPolicy::Wisteria) {
+        run.submit_base().await?;
+    }
     let mut report = RunReport::new(scenario);
     for (index, phase) in scenario.phases.iter().enumerate() {
         for policy in &scenario.policies {
@@ -123,6 +121,16 @@
 }
 
 impl LoadRun {
+    /// Submits the ticket that sets up the deployment.
+    async fn submit_base(&mut self) -> Result<(), StandinError> {
+        let base = ticket::base(&self.deployment, &self.cluster.hosts, self.next_ticket);
+        self.next_ticket += 1;
+        let revision = self.cluster.submit(&base).await?;
+        let waited = self.cluster.wait_in_force(revision).await?;
+        log::info!(target: "load", "the base ticket is in force everywhere after {waited:?}");
+        Ok(())
+    }
+
     async fn phase(
         &mut self,
         index: usize,
