test(steer): drive the scenarios with the shipped share table

A second divider stood beside the one of the control replica; the scenarios now prove the shipped one.

--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -17,14 +17,12 @@
 //! | [`link`] | byte budget of one link, in both directions |
 //! | [`meter`] | rates measured without a lock |
 //! | [`damper`] | slow reaction to measurements that lag |
-//! | [`divider`] | leases of the leading control replica |
 //! | [`lookup`] | which entry hosts a caller should use |
 //! | [`blocks`] | blocks of client addresses in compact form |
 
 pub mod blocks;
 pub mod builder;
 pub mod damper;
-pub mod divider;
 pub mod link;
 pub mod lookup;
 pub mod meter;
@@ -37,7 +35,6 @@
 pub mod table;
 
 pub use builder::TableBuilder;
-pub use divider::ShareDivider;
 pub use lookup::LookupTable;
 pub use plan::{PlacePermit, RoutePlan};
 pub use query::{PlaceDemand, RouteDecision, RouteQuery, RouteRefusal, ShareGrant};
--- a/crates/steer/tests/fleet/mod.rs
+++ b/crates/steer/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::time::{Duration, Instant};
 
+use control::shares::{PlaceRates, ShareTable};
 use guard::RequestClass;
 use model::raw::RawTicket;
 use model::spec::ServiceClass;
@@ -11,15 +12,12 @@
 use model::ticket::ChangeTicket;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use steer::{
-    PlacePermit, RouteDecision, RouteQuery, RouteTable, ShareDivider, ShareGrant, TableBuilder,
-};
+use steer::{PlacePermit, RouteDecision, RouteQuery, RouteTable, ShareGrant, TableBuilder};
 
 pub(crate) mod trace;
 
 use trace::Trace;
 
-const LEASE_TTL: Duration = Duration::from_secs(3);
 const LEASE_PERIOD_MS: u64 = 500;
 const CHUNK_BYTES: u64 = 8192;
 const SERVICE_MS: u64 = 20;
@@ -87,7 +85,7 @@
     pub(crate) now_ms: u64,
     control: ForceState,
     hosts: Vec<Host>,
-    divider: Option<ShareDivider>,
+    leader: Option<ShareTable>,
     lost: BTreeSet<String>,
     loads: Vec<Load>,
     faults: Vec<Fault>,
@@ -107,7 +105,7 @@
             now_ms: 0,
             control: ForceState::default(),
             hosts: Vec::new(),
-            divider: None,
+            leader: None,
             lost: BTreeSet::new(),
             loads: Vec::new(),
             faults,
@@ -118,9 +116,7 @@
             next_transfer: 0,
             trace: Trace::default(),
         };
-        let wait = LEASE_TTL * 2;
-        let led_since = start.checked_sub(wait).unwrap();
-        fleet.divider = Some(ShareDivider::new(led_since, LEASE_TTL));
+        fleet.set_leader(true);
         fleet.control.apply(&parse(ticket));
         for (index, (name, spec)) in state::live(&fleet.control.hosts).enumerate() {
             fleet.hosts.push(Host {
@@ -174,11 +170,12 @@
 
     pub(crate) fn set_leader(&mut self, leads: bool) {
         let waited = match self.faults.contains(&Fault::LeaderDoesNotWait) {
-            true => LEASE_TTL * 2,
+            true => ShareTable::TTL,
             false => Duration::ZERO,
         };
-        let since = self.now() - waited;
-        self.divider = leads.then(|| ShareDivider::new(since, LEASE_TTL));
+        let mut table = ShareTable::new();
+        table.start(self.now() - waited);
+        self.leader = leads.then_some(table);
     }
 
     pub(crate) fn run_until(&mut self, end_ms: u64) {
@@ -238,20 +235,26 @@
             if !(self.now_ms + 50 * index as u64).is_multiple_of(LEASE_PERIOD_MS) || host.cut {
                 continue;
             }
-            let Some(divider) = &mut self.divider else {
+            let Some(leader) = &mut self.leader else {
                 continue;
             };
-            let demand = host.table.demand(now);
+            let demand: PlaceRates = host
+                .table
+                .demand(now)
+                .into_iter()
+                .map(|place| ((place.service, place.zone), place.rate))
+                .collect();
             let ttl = if never_expire {
                 Duration::from_secs(86_400)
             } else {
-                LEASE_TTL
+                ShareTable::TTL
             };
-            for lease in divider.lease(now, &self.control, &host.name, &demand) {
+            let shares = leader.lease(now, &self.control, &host.name, &demand);
+            for ((service, zone), rate) in &shares {
                 let grant = ShareGrant {
-                    service: &lease.service,
-                    zone: &lease.zone,
-                    rate: lease.rate,
+                    service,
+                    zone,
+                    rate: *rate,
                     ttl,
                     revision: self.control.revision,
                 };
