feat(wire,control): bound the connections of other processes

An outsider could open connections to the peer address without end and take the file descriptors that the log needs: a log file that can't be opened is a failed disk, and the replica steps down for good.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -16,7 +16,7 @@
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::server::TcpIncoming;
 use tonic::transport::Server;
-use wire::dial;
+use wire::{dial, listen};
 
 use crate::call::{CoreCall, CoreHandle};
 use crate::core::{CoreAction, ReplicaCore};
@@ -124,7 +124,7 @@
         .add_service(InterceptedService::new(replica, checker.clone()))
         .add_service(InterceptedService::new(shares, checker.clone()))
         .add_service(InterceptedService::new(feed, checker))
-        .serve_with_incoming(incoming);
+        .serve_with_incoming(listen::bounded(incoming));
     task::spawn(async move {
         if let Err(e) = server.await {
             log::error!(target: "peer", "processes are no longer served: {e}");
--- a/crates/control/tests/process_interface.rs
+++ b/crates/control/tests/process_interface.rs
@@ -3,15 +3,18 @@
 
 mod common;
 
-use std::net::SocketAddr;
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use common::{cluster, leader, others, put, region, submit, verdict};
 use proof::cluster::{ProofCluster, TOKEN};
+use proof::wait::wait_until;
 use rstest::rstest;
 use tonic::{Code, Status};
 use wire::dial::{self, TokenChannel};
+use wire::listen;
 use wire::token::AccessToken;
 use wire::v1;
 use wire::v1::feed_client::FeedClient;
@@ -124,6 +127,55 @@
     assert_eq!(refused, Code::InvalidArgument);
 }
 
+#[test]
+fn idle_connections_without_the_token_are_bounded_and_closed() {
+    let cluster = ProofCluster::plan()
+        .replicas(1)
+        .entry_hosts(0)
+        .start()
+        .unwrap();
+    let address = cluster.replicas[0].peers;
+    let idle: Vec<_> = (0..listen::MAX_CONNECTIONS + 100)
+        .map(|_| TcpStream::connect(address).unwrap())
+        .collect();
+    let confirms = || {
+        block_on(async move {
+            let channel = dial::connect(address, &AccessToken::new(TOKEN)).await?;
+            let call = ReplicaClient::new(channel)
+                .confirm(v1::ConfirmRequest {})
+                .await;
+            Ok::<_, Box<dyn std::error::Error + Send + Sync>>(call.map(|_| ())?)
+        })
+    };
+    assert!(confirms().is_err(), "more connections than the bound");
+    // The tickets still reach the disk.
+    let (status, _) = submit(&cluster, 1, &region(1, "north", 1));
+    assert_eq!(status, 200);
+    let bound = listen::PROOF_BOUND + Duration::from_secs(2);
+    wait_until("room for a connection", bound, || confirms().is_ok()).unwrap();
+    let open = idle.into_iter().filter(|stream| {
+        stream.set_nonblocking(true).unwrap();
+        let read = (&*stream).read(&mut [0; 64]);
+        read.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+    });
+    assert_eq!(open.count(), 0);
+}
+
+#[test]
+fn a_connection_with_the_token_stays_open_past_the_bound() {
+    let cluster = ProofCluster::plan()
+        .replicas(1)
+        .entry_hosts(0)
+        .start()
+        .unwrap();
+    let (_, beats) = follow(
+        cluster.replicas[0].peers,
+        listen::PROOF_BOUND + Duration::from_secs(2),
+    );
+    let time = Duration::from_millis(250) * u32::try_from(beats.len()).unwrap();
+    assert!(time > listen::PROOF_BOUND, "{} stamps", beats.len());
+}
+
 /// Follows a replica's feed for a while, and returns the revisions and stamps that came.
 fn follow(address: SocketAddr, time: Duration) -> (Vec<u64>, Vec<v1::Beat>) {
     block_on(async move {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! `cargo run -p codegen` and committed, so that a build needs no generator.
 
 pub mod dial;
+pub mod listen;
 pub mod token;
 
 /// Generated messages, clients and servers.
--- a/crates/wire/src/token.rs
+++ b/crates/wire/src/token.rs
@@ -6,6 +6,8 @@
 use tonic::service::Interceptor;
 use tonic::{Request, Status};
 
+use crate::listen::ConnectionProof;
+
 /// Metadata key and HTTP header of the token.
 pub const TOKEN_HEADER: &str = "authorization";
 
@@ -74,6 +76,9 @@
     fn call(&mut self, request: Request<()>) -> Result<Request<()>, Status> {
         let value = request.metadata().get(TOKEN_HEADER);
         if self.0.admits(value.map(|v| v.as_bytes())) {
+            if let Some(proof) = request.extensions().get::<ConnectionProof>() {
+                proof.give();
+            }
             return Ok(request);
         }
         Err(Status::unauthenticated(
