--- a/crates/control/src/submitter.rs
+++ b/crates/control/src/submitter.rs
@@ -26,6 +26,9 @@
     /// Time in which an operator's call is answered.
     pub const ANSWER_BOUND: Duration = Duration::from_millis(2_500);
 
+    /// Time in which a leader answers another replica; then it is asked again, where it is by then.
+    pub const ATTEMPT_BOUND: Duration = Duration::from_millis(600);
+
     /// Pause before the leader is asked again.
     const PAUSE: Duration = Duration::from_millis(50);
 
@@ -88,8 +91,9 @@
             SubmitOutcome::Known(verdict) => Some(verdict),
             SubmitOutcome::NotLeader(Some(leader)) => {
                 let ticket = Bytes::from(ticket.to_json());
-                let json = self.peers.submit(leader, ticket).await.ok()?;
-                serde_json::from_slice(&json).ok()
+                let submitted = self.peers.submit(leader, ticket);
+                let json = future::timeout(Self::ATTEMPT_BOUND, submitted).await.ok()?;
+                serde_json::from_slice(&json.ok()?).ok()
             }
             SubmitOutcome::NotLeader(None) | SubmitOutcome::Unknown => None,
         }
@@ -98,10 +102,13 @@
     async fn confirm_once(&self) -> bool {
         let index = match self.confirm_here().await {
             ConfirmOutcome::Confirmed(index) => index,
-            ConfirmOutcome::NotLeader(Some(leader)) => match self.peers.confirm(leader).await {
-                Ok(reply) if reply.confirmed => reply.index,
-                Ok(_) | Err(_) => return false,
-            },
+            ConfirmOutcome::NotLeader(Some(leader)) => {
+                let confirmed = self.peers.confirm(leader);
+                match future::timeout(Self::ATTEMPT_BOUND, confirmed).await {
+                    Ok(Ok(reply)) if reply.confirmed => reply.index,
+                    Ok(_) | Err(_) => return false,
+                }
+            }
             ConfirmOutcome::NotLeader(None) | ConfirmOutcome::Unknown => return false,
         };
         let mut applied = self.applied.clone();
--- a/crates/control/tests/cut_off_leader.rs
+++ b/crates/control/tests/cut_off_leader.rs
@@ -85,6 +85,21 @@
     assert_eq!(state(alone)["regions"]["north"]["spec"]["cap"], 20.0);
 }
 
+#[test]
+fn a_ticket_put_to_a_follower_as_the_leader_freezes_gets_its_verdict_in_one_call() {
+    let cluster = cluster();
+    for number in 1..=3 {
+        let frozen = leader(&cluster);
+        let follower = &cluster.replicas[others(frozen)[0]];
+        cluster.replicas[frozen].process.freeze().unwrap();
+        let answer = put(follower, number, &region(number, "north", 1));
+        cluster.replicas[frozen].process.thaw().unwrap();
+        let (status, body) = answer.unwrap();
+        assert_eq!(status, 200, "{body}");
+        assert_eq!(verdict(&cluster.replicas[frozen], number), body);
+    }
+}
+
 #[rstest]
 #[case::short(Duration::from_millis(400))]
 #[case::about_the_lease(Duration::from_millis(900))]
