--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -29,6 +29,25 @@
         /// Its incarnation.
         incarnation: ids::Incarnation,
     },
+    /// Admits all replicas at the first set-up; the first entry of every log.
+    Found {
+        /// Incarnation of each replica.
+        members: Vec<(ids::ReplicaId, ids::Incarnation)>,
+    },
+}
+
+impl EntryPayload {
+    /// Returns the replicas that the entry admits, with their incarnations.
+    pub fn admissions(&self) -> Vec<(ids::ReplicaId, ids::Incarnation)> {
+        match self {
+            Self::Empty | Self::Command(_) => Vec::new(),
+            Self::Admit {
+                replica,
+                incarnation,
+            } => vec![(*replica, *incarnation)],
+            Self::Found { members } => members.clone(),
+        }
+    }
 }
 
 /// Term, vote and membership; synced before any message that depends on them.
--- a/crates/quorum/src/fault.rs
+++ b/crates/quorum/src/fault.rs
@@ -9,6 +9,8 @@
     VoteBeforeSync,
     /// A replica that lost its disk votes and counts at once.
     BlankVotes,
+    /// An entry of an earlier term is committed by counting replicas.
+    CommitEarlierTerm,
     /// A proposal is answered before it is committed.
     AnswerBeforeCommit,
     /// A snapshot is accepted that is older than what is applied.
--- a/crates/quorum/src/formation.rs
+++ b/crates/quorum/src/formation.rs
@@ -2,7 +2,7 @@
 //!
 //! The lowest replica is the founder. Each blank replica binds itself to the founder's
 //! incarnation and says so; once all are bound, the founder writes their incarnations as the
-//! first entries, tells the others that they are admitted, and stands for election.
+//! first entry, tells the others that they are admitted, and stands for election.
 //!
 //! A replica binds itself only on a greeting that repeats its latest number, and changes the
 //! number when it does. So it never goes back to an incarnation that it left, whatever messages
@@ -55,8 +55,10 @@
 }
 
 impl QuorumMachine {
-    /// Term of the first entries.
+    /// Term of the first entry.
     const FIRST_TERM: ids::Term = 1;
+    /// Place of the first entry.
+    const FIRST_INDEX: ids::LogIndex = 1;
 
     fn is_founder(&self, replica: ids::ReplicaId) -> bool {
         self.config.replicas.iter().min() == Some(&replica)
@@ -126,7 +128,7 @@
         }
     }
 
-    /// Writes the first entries once all others are bound to this founder.
+    /// Writes the first entry once all others are bound to this founder.
     fn found(&mut self) {
         let all_bound = self.formation.bound.len() + 1 == self.config.replicas.len();
         if !self.is_blank() || !all_bound || !self.is_founder(self.config.id) {
@@ -134,17 +136,12 @@
         }
         let mut members = self.formation.bound.clone();
         members.insert(self.config.id, self.incarnation);
-        for (index, (replica, incarnation)) in (1..).zip(members) {
-            let payload = EntryPayload::Admit {
-                replica,
-                incarnation,
-            };
-            self.append(LogEntry {
-                term: Self::FIRST_TERM,
-                index,
-                payload,
-            });
-        }
+        let members = members.into_iter().collect();
+        self.append(LogEntry {
+            term: Self::FIRST_TERM,
+            index: Self::FIRST_INDEX,
+            payload: EntryPayload::Found { members },
+        });
         let term = self.formation.term.max(Self::FIRST_TERM);
         self.follow(term, None);
         self.become_member();
@@ -163,16 +160,13 @@
         }
     }
 
-    /// Returns whether the first entries admit an incarnation, where the log still holds them.
+    /// Returns whether the first entry admits an incarnation, where the log still holds it.
     fn is_first_member(&self, replica: ids::ReplicaId, incarnation: ids::Incarnation) -> bool {
-        let admission = EntryPayload::Admit {
-            replica,
-            incarnation,
-        };
-        let first = self.log.slice(1, self.config.replicas.len());
-        first
-            .iter()
-            .any(|entry| entry.term == Self::FIRST_TERM && entry.payload == admission)
+        let first = self.log.get(Self::FIRST_INDEX);
+        first.is_some_and(|entry| {
+            let admissions = entry.payload.admissions();
+            admissions.contains(&(replica, incarnation))
+        })
     }
 
     pub(crate) fn on_admitted(&mut self, incarnation: ids::Incarnation) {
--- a/crates/quorum/src/machine.rs
+++ b/crates/quorum/src/machine.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::config::QuorumConfig;
-use crate::entry::{EntryPayload, HardState, LogEntry, LogSnapshot, RecoveredState};
+use crate::entry::{HardState, LogEntry, LogSnapshot, RecoveredState};
 use crate::event::{AnswerOutcome, Effect, Event, Role};
 use crate::fault::PlantedFault;
 use crate::formation::FormationState;
@@ -243,13 +243,7 @@
 
     /// Appends an entry to the log; it is written when the event ends.
     pub(crate) fn append(&mut self, entry: LogEntry) {
-        if let EntryPayload::Admit {
-            replica,
-            incarnation,
-        } = entry.payload
-        {
-            self.members.insert(replica, incarnation);
-        }
+        self.members.extend(entry.payload.admissions());
         self.log.append(entry);
     }
 
@@ -309,11 +303,8 @@
     }
 
     fn note_admission(&mut self, entry: &LogEntry) {
-        let own = EntryPayload::Admit {
-            replica: self.config.id,
-            incarnation: self.incarnation,
-        };
-        if entry.payload == own {
+        let own = (self.config.id, self.incarnation);
+        if entry.payload.admissions().contains(&own) {
             self.become_member();
         }
     }
@@ -349,15 +340,8 @@
     ) -> BTreeMap<ids::ReplicaId, ids::Incarnation> {
         let mut members: BTreeMap<_, _> = self.snapshot.admitted.iter().copied().collect();
         for place in self.snapshot.index + 1..=index {
-            let Some(entry) = self.log.get(place) else {
-                continue;
-            };
-            if let EntryPayload::Admit {
-                replica,
-                incarnation,
-            } = entry.payload
-            {
-                members.insert(replica, incarnation);
+            if let Some(entry) = self.log.get(place) {
+                members.extend(entry.payload.admissions());
             }
         }
         members
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -198,7 +198,9 @@
     /// Commits what a quorum has synced, from the present term on.
     pub(crate) fn advance_commit(&mut self) {
         let index = self.reached(self.writes.synced(), |progress| progress.matched);
-        if index > self.commit && self.log.term_at(index) == Some(self.hard.term) {
+        let own_term = self.log.term_at(index) == Some(self.hard.term)
+            || self.fault == Some(PlantedFault::CommitEarlierTerm);
+        if index > self.commit && own_term {
             self.commit_to(index);
             self.answer_reads();
         }
@@ -254,6 +256,6 @@
     fn is_admitting(&self) -> bool {
         let open = self.commit + 1..=self.log.last_index();
         open.filter_map(|index| self.log.get(index))
-            .any(|entry| matches!(entry.payload, EntryPayload::Admit { .. }))
+            .any(|entry| !entry.payload.admissions().is_empty())
     }
 }
--- a/crates/quorum/tests/explorer.rs
+++ b/crates/quorum/tests/explorer.rs
@@ -14,7 +14,7 @@
 use support::explorer::explore;
 
 const SCHEDULES: u64 = 10_000;
-const STEPS: usize = 250;
+const STEPS: usize = 400;
 const THREADS: usize = 4;
 
 #[test]
--- a/crates/quorum/tests/mutations.rs
+++ b/crates/quorum/tests/mutations.rs
@@ -14,11 +14,13 @@
 use support::explorer::explore;
 
 const MOST_SEEDS: u64 = 10_000;
-const STEPS: usize = 250;
+const STEPS: usize = 400;
 
 #[rstest]
 #[case(PlantedFault::VoteBeforeSync)]
 #[case(PlantedFault::BlankVotes)]
+#[case(PlantedFault::CommitEarlierTerm)]
+#[case(PlantedFault::ReadWithoutRound)]
 #[case(PlantedFault::AnswerBeforeCommit)]
 #[case(PlantedFault::OldSnapshot)]
 #[case(PlantedFault::AckBeforeSync)]
--- a/crates/quorum/tests/support/explorer.rs
+++ b/crates/quorum/tests/support/explorer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quorum::event::Event;
+use quorum::event::{Event, Role};
 use quorum::fault::PlantedFault;
 use quorum::ids;
 use rand::rngs::SmallRng;
@@ -13,9 +13,13 @@
 /// Odds of each kind of fault at each step; a schedule draws its own.
 struct FaultOdds {
     crash: f64,
+    /// Crashes while a vote is being written.
+    crash_vote: f64,
+    freeze: f64,
     lose_disk: f64,
     cut: f64,
     block: f64,
+    split: f64,
     heal: f64,
     hand_over: f64,
     storage: f64,
@@ -33,9 +37,12 @@
         };
         Self {
             crash: odds(0.05),
+            crash_vote: odds(0.5),
+            freeze: odds(0.02),
             lose_disk: odds(0.02),
             cut: odds(0.03),
             block: odds(0.05),
+            split: odds(0.02),
             heal: odds(0.05) + 0.01,
             hand_over: odds(0.01),
             storage: odds(0.01),
@@ -78,12 +85,15 @@
     let leaders: Vec<_> = world
         .ids()
         .into_iter()
-        .filter(|id| world.role(*id) == Some(quorum::event::Role::Leader))
+        .filter(|id| world.is_awake(*id) && world.role(*id) == Some(Role::Leader))
         .collect();
     let id = match leaders.as_slice() {
         [] => any,
         leaders => any_of(leaders, random),
     };
+    if !world.is_awake(id) {
+        return Ok(());
+    }
     if random.random_bool(0.3) {
         world.read(id).map(|_| ())
     } else {
@@ -101,10 +111,23 @@
     if !running && random.random_bool(0.1) {
         world.start(id);
     }
-    if running && random.random_bool(odds.crash) {
+    let crash = if world.is_writing_vote(id) {
+        odds.crash.max(odds.crash_vote)
+    } else {
+        odds.crash
+    };
+    if running && random.random_bool(crash) {
         world.crash(id);
     }
+    if world.is_awake(id) && random.random_bool(odds.freeze) {
+        let time = Duration::from_millis(random.random_range(100..3000));
+        world.freeze(id, time);
+    }
     if random.random_bool(odds.lose_disk) && world.may_lose_disk(id) {
+        if random.random_bool(0.5) {
+            let time = Duration::from_millis(random.random_range(100..3000));
+            world.hold_back(id, time);
+        }
         world.lose_disk(id);
         world.start(id);
     }
@@ -116,9 +139,15 @@
         let other = any_of(&world.ids(), random);
         world.blocked.insert((id, other));
     }
+    if random.random_bool(odds.split) {
+        world.split();
+    }
     if random.random_bool(odds.heal) {
         world.heal();
     }
+    if !world.is_awake(id) {
+        return Ok(());
+    }
     if random.random_bool(odds.hand_over) {
         world.handle(id, Event::HandOver)?;
     }
--- a/crates/quorum/tests/support/ledger.rs
+++ b/crates/quorum/tests/support/ledger.rs
@@ -86,7 +86,7 @@
             .range(..=application.applied)
             .filter_map(|(_, entry)| match &entry.payload {
                 EntryPayload::Command(command) => Some(command),
-                EntryPayload::Empty | EntryPayload::Admit { .. } => None,
+                _ => None,
             })
             .collect();
         let agrees = expected.into_iter().eq(application.commands.iter());
--- a/crates/quorum/tests/support/world.rs
+++ b/crates/quorum/tests/support/world.rs
@@ -23,6 +23,8 @@
     pub application: TestApplication,
     /// Since when nothing reaches the replica and nothing leaves it.
     pub cut_at: Option<Instant>,
+    /// Until when the process stands still.
+    pub frozen_until: Option<Instant>,
 }
 
 struct OpenRequest {
@@ -88,30 +90,25 @@
                 disk: FakeDisk::new(world.random.random()),
                 application: TestApplication::default(),
                 cut_at: None,
+                frozen_until: None,
             };
             world.nodes.insert(id, node);
         }
         world
     }
 
-    /// Puts the first entries on all disks, as after the first set-up.
+    /// Puts the first entry on all disks, as after the first set-up.
     pub fn form(&mut self) {
         let members: Vec<_> = self
             .nodes
             .iter()
             .map(|(id, node)| (*id, node.disk.durable.incarnation))
             .collect();
-        let entries: Vec<_> = (1..)
-            .zip(&members)
-            .map(|(index, (replica, incarnation))| LogEntry {
-                term: 1,
-                index,
-                payload: EntryPayload::Admit {
-                    replica: *replica,
-                    incarnation: *incarnation,
-                },
-            })
-            .collect();
+        let entries = vec![LogEntry {
+            term: 1,
+            index: 1,
+            payload: EntryPayload::Found { members },
+        }];
         for node in self.nodes.values_mut() {
             node.disk.durable.entries = entries.clone();
             node.disk.durable.blank = false;
@@ -130,7 +127,7 @@
     pub fn start(&mut self, id: ids::ReplicaId) {
         let mut config = QuorumConfig::new(id, self.ids());
         config.seed = self.random.random();
-        config.batch = 4;
+        config.batch = self.random.random_range(1..=4);
         let now = self.now;
         let fault = self.fault;
         let Some(node) = self.nodes.get_mut(&id) else {
@@ -157,6 +154,7 @@
         };
         let kept = self.random.random_range(0..=node.disk.unsynced.len());
         node.machine = None;
+        node.frozen_until = None;
         node.disk.crash(kept);
     }
 
@@ -169,6 +167,32 @@
         }
     }
 
+    /// Keeps the messages of a replica that are on their way in the network for longer.
+    pub fn hold_back(&mut self, id: ids::ReplicaId, time: Duration) {
+        let from_it = |letter: &(ids::ReplicaId, ids::ReplicaId, Message)| letter.0 == id;
+        let (held, others) = std::mem::take(&mut self.network)
+            .into_iter()
+            .partition(|(_, letter)| from_it(letter));
+        self.network = others;
+        let held: BTreeMap<_, _> = held;
+        for ((at, number), letter) in held {
+            self.network.insert((at + time, number), letter);
+        }
+    }
+
+    /// Blocks all messages between two halves of the replicas.
+    pub fn split(&mut self) {
+        let halves: Vec<_> = self
+            .ids()
+            .into_iter()
+            .map(|id| (id, self.random.random_bool(0.5)))
+            .collect();
+        for (from, side) in &halves {
+            let others = halves.iter().filter(|(_, other)| other != side);
+            self.blocked.extend(others.map(|(to, _)| (*from, *to)));
+        }
+    }
+
     /// Returns whether losing one disk leaves all others admitted and with their disks.
     pub fn may_lose_disk(&self, id: ids::ReplicaId) -> bool {
         let others = self.nodes.iter().filter(|(other, _)| **other != id);
@@ -187,6 +211,27 @@
         }
     }
 
+    /// Stops a process for a while; a read is the first thing that it does afterwards.
+    pub fn freeze(&mut self, id: ids::ReplicaId, time: Duration) {
+        let until = self.now + time;
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.frozen_until = Some(until);
+        }
+    }
+
+    fn thaw(&mut self) -> Checked {
+        let now = self.now;
+        for id in self.ids() {
+            let node = self.nodes.get_mut(&id).unwrap();
+            if node.frozen_until.is_some_and(|until| until <= now) {
+                node.frozen_until = None;
+                self.read(id)?;
+                self.propose(id, b"thawed")?;
+            }
+        }
+        Ok(())
+    }
+
     pub fn heal(&mut self) {
         self.blocked.clear();
         for node in self.nodes.values_mut() {
@@ -194,6 +239,12 @@
         }
     }
 
+    /// Returns whether a write of term and vote is on its way to the disk.
+    pub fn is_writing_vote(&self, id: ids::ReplicaId) -> bool {
+        let mut writes = self.nodes[&id].disk.unsynced.iter();
+        writes.any(|(_, write)| write.hard.is_some())
+    }
+
     pub fn role(&self, id: ids::ReplicaId) -> Option<Role> {
         let machine = self.nodes.get(&id)?.machine.as_ref()?;
         Some(machine.role())
@@ -211,6 +262,12 @@
             .map(|(id, _)| *id)
     }
 
+    /// Returns whether the process runs and isn't frozen.
+    pub fn is_awake(&self, id: ids::ReplicaId) -> bool {
+        let node = &self.nodes[&id];
+        node.machine.is_some() && node.frozen_until.is_none()
+    }
+
     pub fn propose(
         &mut self,
         id: ids::ReplicaId,
@@ -352,14 +409,22 @@
 
     /// Goes on to the next thing that happens by itself.
     pub fn step(&mut self) -> Checked {
+        const LONGEST: Duration = Duration::from_secs(1);
+        self.step_until(self.now + LONGEST)
+    }
+
+    fn step_until(&mut self, end: Instant) -> Checked {
         let mail = self.network.keys().next().map(|(at, _)| *at);
         let disk = self.earliest(|node| node.disk.due());
         let tick = self.earliest(|node| node.machine.as_ref().map(QuorumMachine::deadline));
         let first = [mail, disk.map(|d| d.0), tick.map(|t| t.0)];
-        let Some(at) = first.into_iter().flatten().min() else {
-            return Ok(());
+        let at = first.into_iter().flatten().min();
+        let Some(at) = at.filter(|at| *at <= end) else {
+            self.now = end;
+            return self.thaw();
         };
         self.now = self.now.max(at);
+        self.thaw()?;
         if let Some((_, id)) = disk.filter(|(due, _)| *due == at) {
             let node = self.nodes.get_mut(&id).unwrap();
             let Some(token) = node.disk.sync_next() else {
@@ -368,9 +433,13 @@
             return self.handle(id, Event::Persisted { token });
         }
         if mail == Some(at) {
-            let Some((_, (from, to, message))) = self.network.pop_first() else {
+            let Some(((_, number), (from, to, message))) = self.network.pop_first() else {
                 return Ok(());
             };
+            if let Some(until) = self.nodes[&to].frozen_until {
+                self.network.insert((until, number), (from, to, message));
+                return Ok(());
+            }
             if self.blocked.contains(&(from, to)) {
                 return Ok(());
             }
@@ -386,14 +455,14 @@
         let times = self
             .nodes
             .iter()
-            .filter_map(|(id, node)| time(node).map(|at| (at, *id)));
+            .filter_map(|(id, node)| Some((Some(time(node)?).max(node.frozen_until)?, *id)));
         times.min()
     }
 
     pub fn run_for(&mut self, time: Duration) -> Checked {
         let end = self.now + time;
         while self.now < end {
-            self.step()?;
+            self.step_until(end)?;
         }
         Ok(())
     }
