test(forward): prove the linger, the retry budget and late attempts

The test of memory for held bodies raced with its own first request: it now waits until that one is held.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -163,6 +163,11 @@
         self.pools.open_counts()
     }
 
+    /// Returns the bytes of request bodies that are held.
+    pub fn held_bytes(&self) -> u64 {
+        self.holds.held()
+    }
+
     /// Closes the connections to backend servers that were idle for too long.
     pub fn close_idle(&self, now: Instant) {
         self.pools.close_idle(now, self.settings.idle_limit);
--- a/crates/forward/src/hold.rs
+++ b/crates/forward/src/hold.rs
@@ -6,6 +6,7 @@
 /// Memory for bodies of requests that are held whole, shared by all callers.
 #[derive(Debug)]
 pub(crate) struct HoldBudget {
+    bytes: u64,
     left: Arc<AtomicU64>,
 }
 
@@ -13,7 +14,12 @@
     /// Creates a budget in bytes.
     pub(crate) fn new(bytes: u64) -> Self {
         let left = Arc::new(AtomicU64::new(bytes));
-        Self { left }
+        Self { bytes, left }
+    }
+
+    /// Returns the bytes that are taken.
+    pub(crate) fn held(&self) -> u64 {
+        self.bytes.saturating_sub(self.left.load(Ordering::Relaxed))
     }
 
     /// Takes bytes, if they are there.
--- a/crates/forward/tests/backend_contract.rs
+++ b/crates/forward/tests/backend_contract.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use support::{dead_address, get, ok, post, say, wait_until, Act, FakeBackend, Rig};
+use support::{dead_address, get, ok, post, say, Act, FakeBackend, Rig};
 
 fn cut(text: &str) -> Act {
     Act::SayAndClose(text.to_string())
@@ -244,10 +244,12 @@
     let mut caller = rig.caller();
     let head = "POST /s/svc/a HTTP/1.1\r\nhost: e\r\ncontent-length: 2000000\r\n\r\n";
     caller.write(head.as_bytes());
-    caller.write(&vec![b'z'; 500_000]);
+    for _ in 0..20 {
+        std::thread::sleep(Duration::from_millis(5));
+        assert!(caller.try_write(&[b'z'; 100_000]), "the upload may go on");
+    }
     let answer = caller.answer(false).unwrap();
     assert_eq!((answer.status, answer.text().as_str()), (422, "nope"));
-    assert!(wait_until(|| backend.connections() == 1));
 }
 
 #[test]
--- a/crates/forward/tests/caller_contract.rs
+++ b/crates/forward/tests/caller_contract.rs
@@ -188,11 +188,9 @@
     let rig = Rig::with(&[&backend], |settings| settings.max_held_bytes = 100);
     let mut slow = rig.caller();
     slow.write(b"POST /s/svc/a HTTP/1.1\r\nhost: e\r\ncontent-length: 80\r\n\r\nx");
-    let refused = "503 not-run overloaded";
-    assert!(wait_until(|| rig
-        .ask(&post("/s/svc/a", "", &"y".repeat(40)))
-        .verdict()
-        == refused));
+    assert!(wait_until(|| rig.forwarder.held_bytes() == 80));
+    let refused = rig.ask(&post("/s/svc/a", "", &"y".repeat(40)));
+    assert_eq!(refused.verdict(), "503 not-run overloaded");
     slow.write(&[b'x'; 79]);
     assert_eq!(slow.answer(false).unwrap().status, 200);
     assert_eq!(rig.ask(&post("/s/svc/a", "", &"y".repeat(40))).status, 200);
--- a/crates/forward/tests/steered.rs
+++ b/crates/forward/tests/steered.rs
@@ -180,39 +180,49 @@
 #[test]
 fn retries_stay_within_their_budget() {
     let cut = Act::SayAndClose("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nx".into());
-    let broken: Vec<_> = (0..2)
-        .map(|_| FakeBackend::start(vec![cut.clone()]))
+    let acts: Vec<_> = (0..100)
+        .flat_map(|_| [cut.clone(), say(&ok("x"))])
+        .collect();
+    let broken: Vec<_> = (0..3).map(|_| FakeBackend::start(acts.clone())).collect();
+    let places: Vec<_> = broken
+        .iter()
+        .map(|backend| (backend, "altiplano-a"))
         .collect();
-    let places = [(&broken[0], "altiplano-a"), (&broken[1], "altiplano-a")];
     let steered = Steered::start("read", [1e5, 1e5], &places);
-    let count = 20;
+    let count = 60;
     for _ in 0..count {
-        assert_ne!(steered.rig.ask(&get("/s/svc/a")).status, 200);
+        steered.rig.ask(&get("/s/svc/a"));
     }
     let runs: usize = broken.iter().map(FakeBackend::runs).sum();
     let most = count + count / 10 + 3;
-    assert!(runs <= most, "{runs} runs of {count} requests");
+    assert!(
+        runs <= most,
+        "{runs} runs of {count} requests, {most} allowed"
+    );
 }
 
-#[test]
-fn silent_backend_is_taken_out_after_some_late_answers() {
+#[rstest]
+#[case::write_given_up_at_its_deadline("POST", "wisteria-deadline-ms: 100\r\n", 504)]
+#[case::read_overtaken_by_its_hedge("GET", "", 200)]
+fn silent_backend_counts_as_late(#[case] method: &str, #[case] extra: &str, #[case] status: u16) {
     let silent = FakeBackend::start(vec![Act::Hang]);
     let lively = FakeBackend::start(vec![say(&ok("b"))]);
-    let places = [(&silent, "altiplano-a"), (&lively, "altiplano-a")];
-    let steered = Steered::start("read", [1e5, 1e5], &places);
-    for _ in 0..60 {
-        let answer = steered
-            .rig
-            .ask(&post("/s/svc/a", "wisteria-deadline-ms: 100\r\n", "1"));
-        assert!(
-            [200, 503, 504].contains(&answer.status),
-            "{}",
-            answer.verdict()
-        );
+    let steered = Steered::start("read", [1e5, 1e5], &[(&silent, "altiplano-a")]);
+    let mut caller = steered.rig.caller();
+    let request =
+        format!("{method} /s/svc/a HTTP/1.1\r\nhost: e\r\ncontent-length: 0\r\n{extra}\r\n");
+    if status == 200 {
+        steered.announce(lively.address, "altiplano-b");
     }
+    assert_eq!(caller.ask(&request).unwrap().status, status);
+    let snapshot = steered.routes.registry().snapshot();
+    let silent = snapshot
+        .entries()
+        .find(|entry| entry.announcement.address == silent.address);
+    let silent = silent.unwrap();
     assert!(
-        silent.runs() <= 10,
-        "{} runs on a silent backend server",
-        silent.runs()
+        wait_until(|| silent.gauge.failures() == 1),
+        "{}",
+        silent.gauge.failures()
     );
 }
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -276,6 +276,10 @@
         let _ = self.stream.write_all(bytes);
     }
 
+    pub fn try_write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
     pub fn ask(&mut self, request: &str) -> Option<Answer> {
         self.write(request.as_bytes());
         self.answer(request.starts_with("HEAD"))
