feat(forward): refuse work that can't make its deadline, wait for claimed runs

Cause: a planned stop waited for connections only, so a run under a key whose caller had left was cut; and a request was refused for its deadline only once that had passed. The stop now waits for these runs, whose count is bounded, and the usual latency of a backend server counts against a deadline while it has answered within the last second.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use model::ids;
 use model::outcome::{self, RefusalReason};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Semaphore};
 use xxhash_rust::xxh3::{self, Xxh3};
 
 use crate::attempt::{self, AttemptEnd, AttemptPlan, AttemptRunner, ConnectionChoice, SentCount};
@@ -37,6 +37,7 @@
     claims: Arc<dyn ClaimEdge>,
     pools: PoolMap,
     holds: HoldBudget,
+    claimed_runs: Arc<Semaphore>,
     metrics: Option<ForwardMetrics>,
 }
 
@@ -138,6 +139,7 @@
     ) -> Self {
         Self {
             holds: HoldBudget::new(settings.max_held_bytes),
+            claimed_runs: Arc::new(Semaphore::new(settings.max_claimed_runs)),
             settings,
             routes,
             claims,
@@ -163,6 +165,18 @@
         self.pools.open_counts()
     }
 
+    /// Returns the number of runs under an idempotency key, also those whose caller left.
+    pub fn claimed_runs(&self) -> usize {
+        let free = self.claimed_runs.available_permits();
+        self.settings.max_claimed_runs.saturating_sub(free)
+    }
+
+    /// Waits until all runs under an idempotency key have ended and their answers are kept.
+    pub async fn wait_claimed(&self) {
+        let all = self.settings.max_claimed_runs as u32;
+        drop(self.claimed_runs.acquire_many(all).await);
+    }
+
     /// Returns the bytes of request bodies that are held.
     pub fn held_bytes(&self) -> u64 {
         self.holds.held()
@@ -269,8 +283,18 @@
     async fn answer_claimed(self: Arc<Self>, run: ForwardRun, claim: ClaimRequest) -> AnswerResult {
         let sent = run.plan.sent.clone();
         let due = run.plan.due;
+        let Ok(permit) = self.claimed_runs.clone().try_acquire_owned() else {
+            let message = "this entry host has too many runs under keys";
+            let reason = RefusalReason::Overloaded;
+            return Err(RequestRefusal::no_room(
+                reason,
+                attempt::RETRY_AFTER,
+                message,
+            ));
+        };
         let (sender, receiver) = oneshot::channel();
         async_std::task::spawn(async move {
+            let _permit = permit;
             let claiming = self.claims.claim(claim.clone());
             let outcome = tokio::time::timeout_at(due.into(), claiming).await;
             let outcome = outcome.unwrap_or(ClaimOutcome::Unconfirmed);
--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -59,7 +59,8 @@
 /// How a planned stop ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopReport {
-    /// Connections that still had a request when the time was over; 0 when nothing was cut.
+    /// Connections and runs under keys that went on when the time was over; 0 when nothing was
+    /// cut.
     pub left: usize,
 }
 
@@ -126,8 +127,10 @@
         let bound = self.shared.forwarder.settings().max_connections;
         let all = self.shared.connections.acquire_many(bound as u32);
         let _ = tokio::time::timeout_at(end.into(), all).await;
-        let left = self.connections();
-        log::info!(target: "forward", "stopped; {left} connections cut");
+        let forwarder = &self.shared.forwarder;
+        let _ = tokio::time::timeout_at(end.into(), forwarder.wait_claimed()).await;
+        let left = self.connections() + forwarder.claimed_runs();
+        log::info!(target: "forward", "stopped; {left} connections and runs cut");
         StopReport { left }
     }
 
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -7,6 +7,8 @@
 pub struct ForwardSettings {
     /// Most connections of callers at once.
     pub max_connections: usize,
+    /// Most runs under an idempotency key at once, also those whose caller left.
+    pub max_claimed_runs: usize,
     /// Most bytes of a request's head.
     pub max_head_bytes: usize,
     /// Most headers of a request or an answer.
@@ -43,6 +45,7 @@
     fn default() -> Self {
         Self {
             max_connections: 4096,
+            max_claimed_runs: 4096,
             max_head_bytes: 16 << 10,
             max_headers: 64,
             head_timeout: Duration::from_secs(30),
--- a/crates/forward/src/steered.rs
+++ b/crates/forward/src/steered.rs
@@ -25,6 +25,10 @@
 /// Time after which to come back where no backend server has room.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(500);
 
+/// Age of the last answer up to which the usual latency counts against a deadline; beyond it,
+/// requests go through and measure it anew.
+const LATENCY_AGE: Duration = Duration::from_secs(1);
+
 /// Whether this host may serve requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, FromRepr)]
 #[repr(u8)]
@@ -185,7 +189,11 @@
         loop {
             match self.backend(now, permit) {
                 Ok(lease) => return Ok(lease),
-                Err(refusal) => self.last = Some(refusal),
+                Err(refusal) if self.last.is_none() => self.last = Some(refusal),
+                Err(refusal) if refusal.reason != RefusalReason::NoBackend => {
+                    self.last = Some(refusal);
+                }
+                Err(_) => {}
             }
             permit = self.next_permit(now)?;
         }
@@ -257,6 +265,12 @@
             permit.give_back(now);
             return Err(self.no_room(RefusalReason::Overloaded, NO_ROOM_RETRY, full));
         };
+        if self.is_late_at(now, &entry) {
+            let usual = entry.gauge.latency();
+            permit.give_back(now);
+            let message = "the request can't be answered before its deadline";
+            return Err(self.no_room(RefusalReason::DeadlineExceeded, usual, message));
+        }
         self.tried.push(entry.key);
         let address = entry.announcement.address;
         let hold = SteeredHold::new(self.registry.clone(), entry, permit, slot);
@@ -264,6 +278,13 @@
         Ok(RouteLease::new(now, address, self.query.due, hold))
     }
 
+    /// Tells whether recent answers of a backend server took longer than the request has left.
+    fn is_late_at(&self, now: Instant, entry: &BackendEntry) -> bool {
+        let left = self.query.due.saturating_duration_since(now);
+        let since = entry.gauge.since_answer(now);
+        since.is_some_and(|since| since <= LATENCY_AGE) && entry.gauge.latency() > left
+    }
+
     fn refuse(&self, refusal: &steer::RouteRefusal) -> RequestRefusal {
         let message = match refusal.reason {
             RefusalReason::UnknownService => return RequestRefusal::unknown_service(),
--- a/crates/forward/tests/planned_stop.rs
+++ b/crates/forward/tests/planned_stop.rs
@@ -8,7 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use support::{get, ok, say, wait_until, Act, FakeBackend, Rig};
+use forward::claimed::ClaimOutcome;
+use support::{get, ok, post, say, wait_until, Act, FakeBackend, Rig};
 
 fn stop(rig: &Rig) -> thread::JoinHandle<usize> {
     let server = rig.server.clone();
@@ -64,3 +65,17 @@
     );
     assert!(TcpStream::connect(rig.address).is_err());
 }
+
+#[test]
+fn run_under_a_key_whose_caller_left_ends_before_the_stop() {
+    let backend = FakeBackend::start(vec![Act::SayLater(800, ok("booked"))]);
+    let rig = Rig::start(&[&backend]);
+    let mut caller = rig.caller();
+    caller.write(post("/s/svc/a", "idempotency-key: k\r\n", "1").as_bytes());
+    assert!(wait_until(|| backend.runs() == 1));
+    caller.leave();
+    assert_eq!(stop(&rig).join().unwrap(), 0);
+    assert_eq!(rig.forwarder.claimed_runs(), 0);
+    let kept = rig.claims.outcome("svc", "k");
+    assert!(matches!(kept, Some(ClaimOutcome::Answered(_))), "{kept:?}");
+}
--- a/crates/forward/tests/steered.rs
+++ b/crates/forward/tests/steered.rs
@@ -226,3 +226,27 @@
         silent.gauge.failures()
     );
 }
+
+#[test]
+fn work_that_cannot_make_its_deadline_is_refused_at_once() {
+    let slow = FakeBackend::start(vec![Act::SayLater(150, ok("x"))]);
+    let steered = Steered::start("read", [1e5, 1e5], &[(&slow, "altiplano-a")]);
+    let mut caller = steered.rig.caller();
+    for _ in 0..10 {
+        assert_eq!(caller.ask(&post("/s/svc/a", "", "1")).unwrap().status, 200);
+    }
+    let hurried = post("/s/svc/a", "wisteria-deadline-ms: 50\r\n", "1");
+    let start = Instant::now();
+    let refused = caller.ask(&hurried).unwrap();
+    assert_eq!(refused.verdict(), "503 not-run deadline-exceeded");
+    assert!(
+        start.elapsed() < Duration::from_millis(50),
+        "{:?}",
+        start.elapsed()
+    );
+    assert_eq!(slow.runs(), 10);
+    std::thread::sleep(Duration::from_millis(1100));
+    let measured = caller.ask(&hurried).unwrap();
+    assert_eq!(measured.verdict(), "504 unknown deadline-exceeded");
+    assert_eq!(slow.runs(), 11, "old measurements don't refuse for ever");
+}
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -342,6 +342,14 @@
     held: Mutex<HashMap<(String, String), (u64, ClaimOutcome)>>,
 }
 
+impl MemoryClaims {
+    pub fn outcome(&self, service: &str, key: &str) -> Option<ClaimOutcome> {
+        let held = self.held.lock().unwrap();
+        let record = held.get(&(service.to_string(), key.to_string()));
+        record.map(|(_, outcome)| outcome.clone())
+    }
+}
+
 impl ClaimEdge for MemoryClaims {
     fn claim(&self, request: ClaimRequest) -> BoxFuture<'_, ClaimOutcome> {
         let mut held = self.held.lock().unwrap();
@@ -385,6 +393,7 @@
     pub address: SocketAddr,
     pub server: CallerServer,
     pub forwarder: Arc<RequestForwarder>,
+    pub claims: Arc<MemoryClaims>,
 }
 
 impl Rig {
@@ -412,7 +421,7 @@
         adjust(&mut settings);
         let routes = Arc::new(routes);
         let claims = Arc::new(MemoryClaims::default());
-        let forwarder = Arc::new(RequestForwarder::new(settings, routes, claims));
+        let forwarder = Arc::new(RequestForwarder::new(settings, routes, claims.clone()));
         let server = CallerServer::new(forwarder.clone(), Arc::new(Others));
         let address = async_std::task::block_on(async {
             let listener = tokio::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
@@ -426,6 +435,7 @@
             address,
             server,
             forwarder,
+            claims,
         }
     }
 
