--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -1,6 +1,7 @@
 //! Connections of callers, and their planned stop.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -101,10 +102,11 @@
     /// Accepts connections until the server stops. Runs inside an async-std task.
     pub async fn serve(&self, listener: TcpListener) {
         let mut phase = self.shared.phase.subscribe();
+        let mut reaps = tokio::time::interval(REAP_INTERVAL);
         loop {
             let closed = Box::pin(wait_closed(&mut phase));
             let accepted = Box::pin(listener.accept());
-            let reap = Box::pin(tokio::time::sleep(REAP_INTERVAL));
+            let reap = Box::pin(reaps.tick());
             match future::select(future::select(closed, accepted), reap).await {
                 Either::Left((Either::Left(_), _)) => break,
                 Either::Left((Either::Right((accepted, _)), _)) => self.take(accepted).await,
@@ -148,12 +150,20 @@
             Ok(permit) => {
                 async_std::task::spawn(shared.serve_connection(stream, peer, permit));
             }
-            Err(_) => refuse_connection(stream).await,
+            Err(_) => refuse_connection(stream, shared.full_reason()).await,
         }
     }
 }
 
 impl SharedServer {
+    /// Says why no connection is free: a stopping server holds them all back.
+    fn full_reason(&self) -> RefusalReason {
+        match *self.phase.borrow() {
+            ServerPhase::Serving => RefusalReason::Overloaded,
+            ServerPhase::Closing | ServerPhase::Closed => RefusalReason::Stopping,
+        }
+    }
+
     async fn serve_connection(
         self: Arc<Self>,
         stream: TcpStream,
@@ -173,14 +183,11 @@
         let closed = Box::pin(wait_closed(&mut phase));
         let serving = future::poll_fn(|cx| http.poll_without_shutdown(cx));
         let ended = match future::select(serving, closed).await {
-            Either::Left((ended, _)) => Some(ended),
-            Either::Right(_) => None,
-        };
-        let ended = match ended {
-            Some(ended) => ended,
-            None => {
+            Either::Left((ended, _)) => ended,
+            Either::Right(_) => {
                 Pin::new(&mut http).graceful_shutdown();
-                future::poll_fn(|cx| http.poll_without_shutdown(cx)).await
+                let serving = future::poll_fn(|cx| http.poll_without_shutdown(cx));
+                finish(serving, &tap).await
             }
         };
         if let Err(err) = ended {
@@ -229,6 +236,19 @@
     }
 }
 
+/// Serves a closing connection to its end; one that has brought no request by then is given up.
+async fn finish<F>(serving: F, tap: &HeadTap) -> hyper::Result<()>
+where
+    F: Future<Output = hyper::Result<()>> + Unpin,
+{
+    let grace = Box::pin(tokio::time::sleep(CLOSE_GRACE));
+    match future::select(serving, grace).await {
+        Either::Left((ended, _)) => ended,
+        Either::Right(((), serving)) if tap.has_request() => serving.await,
+        Either::Right(((), _)) => Ok(()),
+    }
+}
+
 /// Refuses a request whose end can be read in two ways, and closes its connection.
 fn refuse_framing() -> Response<AnswerBody> {
     let refusal = RequestRefusal::malformed(
@@ -281,12 +301,12 @@
     let _ = tokio::time::timeout(LINGER_TIME, reading).await;
 }
 
-/// Tells a caller at once that all connections are in use.
-async fn refuse_connection(mut stream: TcpStream) {
+/// Tells a caller at once that no connection is free.
+async fn refuse_connection(mut stream: TcpStream, reason: RefusalReason) {
     let refusal = RequestRefusal::no_room(
-        RefusalReason::Overloaded,
+        reason,
         REFUSED_RETRY_AFTER,
-        "all connections of this entry host are in use; ask another one",
+        "this entry host takes no more connections; ask another one",
     );
     let response = refusal.to_response();
     let mut text = format!(
--- a/crates/forward/src/tap.rs
+++ b/crates/forward/src/tap.rs
@@ -24,6 +24,7 @@
 
 #[derive(Debug, Default)]
 struct TapState {
+    started: bool,
     paused: bool,
     head: Vec<u8>,
 }
@@ -49,7 +50,14 @@
 
     /// Stops keeping bytes, as the head is whole.
     pub(crate) fn pause(&self) {
-        self.lock().paused = true;
+        let mut state = self.lock();
+        state.started = true;
+        state.paused = true;
+    }
+
+    /// Tells whether the head of a first request has come whole.
+    pub(crate) fn has_request(&self) -> bool {
+        self.lock().started
     }
 
     /// Starts keeping the bytes of the next head.
--- a/crates/forward/tests/backend_contract.rs
+++ b/crates/forward/tests/backend_contract.rs
@@ -252,6 +252,38 @@
     assert_eq!((answer.status, answer.text().as_str()), (422, "nope"));
 }
 
+#[test]
+fn upload_whose_backend_dies_is_unknown_and_never_tried_again() {
+    let dying = FakeBackend::start(vec![Act::DieInBody]);
+    let second = FakeBackend::start(vec![say(&ok("twice"))]);
+    let rig = Rig::start(&[&dying, &second]);
+    for size in [1000, 1 << 20] {
+        let answer = rig.ask(&post("/s/svc/a", "", &"z".repeat(size)));
+        assert_eq!(answer.verdict(), FAILED, "{size}");
+    }
+    assert_eq!((dying.runs(), second.runs()), (0, 0));
+}
+
+#[test]
+fn connections_that_are_idle_for_long_are_closed() {
+    let backend = FakeBackend::start(vec![say(&ok("a"))]);
+    let rig = Rig::with(&[&backend], |settings| settings.idle_limit = Duration::ZERO);
+    let mut caller = rig.caller();
+    caller.ask(&get("/s/svc/a")).unwrap();
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(2) && !backend.has_closed(1) {
+        rig.caller().ask(&get("/health")).unwrap();
+    }
+    assert!(backend.has_closed(1), "also while connections keep coming");
+    let open: usize = rig
+        .forwarder
+        .open_connections()
+        .iter()
+        .map(|(_, count)| count)
+        .sum();
+    assert_eq!(open, 0);
+}
+
 #[test]
 fn write_whose_body_is_cut_by_its_caller_runs_nowhere() {
     let backend = FakeBackend::start(vec![say(&ok("x"))]);
--- a/crates/forward/tests/planned_stop.rs
+++ b/crates/forward/tests/planned_stop.rs
@@ -79,3 +79,42 @@
     let kept = rig.claims.outcome("svc", "k");
     assert!(matches!(kept, Some(ClaimOutcome::Answered(_))), "{kept:?}");
 }
+
+#[test]
+fn connection_that_never_sent_a_request_holds_up_no_stop() {
+    let rig = Rig::start(&[]);
+    let mut silent = rig.caller();
+    let mut partial = rig.caller();
+    partial.write(b"GET /s/svc/a HTTP/1.1\r\nho");
+    assert!(wait_until(|| rig.server.connections() == 2));
+    let start = Instant::now();
+    let stopping = stop(&rig);
+    assert!(silent.is_closed() && partial.is_closed());
+    drop((silent, partial));
+    assert_eq!(stopping.join().unwrap(), 0);
+    assert!(
+        start.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        start.elapsed()
+    );
+}
+
+#[test]
+fn upload_under_way_and_long_answer_are_finished() {
+    let body = "y".repeat(4 << 20);
+    let backend = FakeBackend::start(vec![Act::Say(ok(&body))]);
+    let rig = Rig::start(&[&backend]);
+    let mut caller = rig.caller();
+    caller.write(b"POST /s/svc/a HTTP/1.1\r\nhost: e\r\ncontent-length: 600000\r\n\r\n");
+    caller.write(&[b'z'; 300_000]);
+    assert!(wait_until(|| rig.server.connections() == 1));
+    let stopping = stop(&rig);
+    thread::sleep(Duration::from_millis(700));
+    caller.write(&[b'z'; 300_000]);
+    thread::sleep(Duration::from_millis(700));
+    let answer = caller.answer(false).unwrap();
+    assert!(answer.whole);
+    assert_eq!(answer.body.len(), body.len());
+    drop(caller);
+    assert_eq!(stopping.join().unwrap(), 0);
+}
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -40,6 +40,8 @@
     Split(String, u64, String),
     /// Answers after the head, before the body is read.
     SayEarly(String),
+    /// Closes after the head and before the body was read.
+    DieInBody,
     /// Closes each new connection before reading.
     CloseUnread,
 }
@@ -107,6 +109,10 @@
         self.connections.load(Ordering::SeqCst)
     }
 
+    pub fn has_closed(&self, count: usize) -> bool {
+        self.closed.load(Ordering::SeqCst) >= count
+    }
+
     /// Waits until this many connections were closed by the other side or by the act.
     pub fn wait_closed(&self, count: usize) -> bool {
         wait_until(|| self.closed.load(Ordering::SeqCst) >= count)
@@ -137,6 +143,9 @@
         if let Act::SayEarly(text) = &early {
             stream.write_all(text.as_bytes()).unwrap();
         }
+        if matches!(early, Act::DieInBody) {
+            return;
+        }
         let Some(body) = read_body(&mut stream, &mut buffer, &head) else {
             return;
         };
@@ -168,7 +177,7 @@
                 let _ = stream.read(&mut [0; 1]);
                 return;
             }
-            Act::SayEarly(_) | Act::CloseUnread => {}
+            Act::SayEarly(_) | Act::CloseUnread | Act::DieInBody => {}
         }
     }
 }
