feat(forward): charge the held start of a long answer to its link at once

The start of a long answer, up to 256 KiB, was charged to the link only when the answer had ended. A table test sends 1 MB each way over 8 Mbit/s.

--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -274,15 +274,17 @@
         guard: ExchangeGuard,
         due: BoxFuture<'static, ()>,
     ) -> Self {
-        let passed = start.len() as u64;
-        Self {
+        let bytes = start.len() as u64;
+        let mut answer = Self {
             start,
             rest,
             guard: Some(guard),
             due,
-            passed,
+            passed: 0,
             pause: PacePause::default(),
-        }
+        };
+        answer.count(bytes);
+        answer
     }
 
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
--- a/crates/forward/tests/steered.rs
+++ b/crates/forward/tests/steered.rs
@@ -51,13 +51,26 @@
         steered
     }
 
+    /// Puts the only place of the service behind a link of 8 Mbit/s.
+    fn behind_link(&mut self) {
+        let text = "number = 9\n\
+            region.oriente = { zones = [\"oriente-a\"], cap = 1e6 }\n\
+            link.\"altiplano/oriente\" = { mbits = 8.0 }\n\
+            [service.svc]\nclass = \"write\"\nshift = 1e6\nplaces.oriente-a.cap = 1e5\n";
+        self.apply(text);
+    }
+
     fn submit(&mut self, number: u64, class: &str, [a, b]: [f64; 2], leaving: &str) {
         let text = format!(
             "number = {number}\n{PLACES}\n[service.svc]\nclass = \"{class}\"\nshift = 1e6\n\
              leaving = [{leaving}]\nplaces.altiplano-a.cap = {a:.1}\n\
              places.altiplano-b.cap = {b:.1}\n"
         );
-        let ticket = ChangeTicket::try_from(RawTicket::from_toml(&text).unwrap()).unwrap();
+        self.apply(&text);
+    }
+
+    fn apply(&mut self, text: &str) {
+        let ticket = ChangeTicket::try_from(RawTicket::from_toml(text).unwrap()).unwrap();
         self.state.apply(&ticket);
         let now = Instant::now();
         let past = now.checked_sub(Duration::from_secs(60)).unwrap();
@@ -250,3 +263,25 @@
     assert_eq!(measured.verdict(), "504 unknown deadline-exceeded");
     assert_eq!(slow.runs(), 11, "old measurements don't refuse for ever");
 }
+
+#[rstest]
+#[case::upload(1_000_000, 1)]
+#[case::long_answer(1, 1_000_000)]
+fn bytes_over_a_link_keep_to_its_rate(#[case] up: usize, #[case] down: usize) {
+    let backend = FakeBackend::start(vec![Act::Say(ok(&"y".repeat(down)))]);
+    let mut steered = Steered::start("write", [1e5, 1e5], &[(&backend, "oriente-a")]);
+    steered.behind_link();
+    let start = Instant::now();
+    let answer = steered.rig.ask(&post("/s/svc/a", "", &"z".repeat(up)));
+    let took = start.elapsed();
+    assert!(answer.whole);
+    assert_eq!(
+        (answer.body.len(), backend.seen()[0].body.len()),
+        (down, up)
+    );
+    // The first 256 KiB are held, so they pass at once.
+    assert!(
+        took > Duration::from_millis(700),
+        "1 MB over 8 Mbit/s took {took:?}"
+    );
+}
