--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -14,5 +14,6 @@
 pub mod run;
 pub mod scenario;
 pub mod schedule;
+mod sender;
 pub mod settings;
 pub mod ticket;
--- a/crates/standin/src/load/run.rs
+++ b/crates/standin/src/load/run.rs
@@ -1,11 +1,10 @@
 //! Runs the phases of a scenario under each policy.
 
-use std::collections::HashMap;
 use std::fs;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -17,15 +16,16 @@
 use crate::backend::work;
 use crate::error::StandinError;
 use crate::load::audit::FaultAudit;
-use crate::load::caller::{CallerPool, LoadRequest};
+use crate::load::caller::CallerPool;
 use crate::load::cluster::LoadCluster;
 use crate::load::deployment::Deployment;
 use crate::load::headroom::HeadroomReport;
-use crate::load::outcome::{LoadOutcome, RequestRecord};
+use crate::load::outcome::RequestRecord;
 use crate::load::policy::{ServerTarget, SteeringPolicy, TargetTable};
 use crate::load::report::{PhaseReport, RunReport, ServiceReport};
 use crate::load::scenario::{LoadPhase, RawScenario, Scenario, TimedFault};
-use crate::load::schedule::{self, PlannedRequest};
+use crate::load::schedule;
+use crate::load::sender::{self, LoadSender, TargetTables};
 use crate::load::settings::LoadSettings;
 use crate::load::ticket;
 
@@ -97,9 +97,6 @@
     Ok(report)
 }
 
-/// Servers that baselines choose from, by index of the service.
-type TargetTables = Arc<Mutex<HashMap<usize, Arc<TargetTable>>>>;
-
 /// What the change within a phase gave.
 #[derive(Debug, Clone, Default)]
 struct ChangeRecord {
@@ -141,9 +138,9 @@
         let seed = self.seed.wrapping_mul(1_000).wrapping_add(index as u64);
         let plan = schedule::plan(&self.deployment, phase.load, phase.length, seed);
         let records = Arc::new(Mutex::new(Vec::with_capacity(plan.len())));
-        let sender = self.sender(policy, records.clone());
+        let requests = self.sender(policy, records.clone());
         let start = Instant::now();
-        let sending = task::spawn(send_all(plan, start, sender));
+        let sending = task::spawn(sender::send_all(plan, start, requests));
         let faults = self.faults(phase, start);
         let change = self.change(phase, policy, start);
         let (change, faults) = futures_util::future::join(change, faults).await;
@@ -152,7 +149,7 @@
         sending.await;
         task::sleep(SETTLE).await;
         self.cluster.order(None, &no_fault()).await?;
-        let records = std::mem::take(&mut *lock(&records));
+        let records = std::mem::take(&mut *sender::lock(&records));
         self.report(phase, policy, &records, &change).await
     }
 
@@ -210,7 +207,7 @@
             address: server.address,
         });
         let table = Arc::new(TargetTable::new(targets.collect()));
-        lock(&self.targets).insert(index, table);
+        sender::lock(&self.targets).insert(index, table);
         change.accepted = Some(run_log::unix_time());
         Ok(change)
     }
@@ -231,7 +228,7 @@
         let index = self.service_index(service)?;
         let own = self.servers.iter().filter(|s| s.service == *service);
         let leaving: Vec<_> = own.map(|server| server.address).take(leaving).collect();
-        sleep_until(start + phase.at).await;
+        sender::sleep_until(start + phase.at).await;
         self.place(index, &regions, &leaving, policy).await
     }
 
@@ -250,7 +247,7 @@
         let faults: Vec<TimedFault> = phase.faults.clone();
         async move {
             for fault in faults {
-                sleep_until(start + fault.at).await;
+                sender::sleep_until(start + fault.at).await;
                 cluster.order(Some(&fault.service), &fault.order).await?;
             }
             Ok(())
@@ -317,81 +314,6 @@
     }
 }
 
-/// What each request needs on its way.
-#[derive(Clone)]
-struct LoadSender {
-    deployment: Arc<Deployment>,
-    zones: Arc<Vec<String>>,
-    callers: Arc<CallerPool>,
-    targets: TargetTables,
-    next_id: Arc<AtomicU64>,
-    seed: u64,
-    policy: SteeringPolicy,
-    records: Arc<Mutex<Vec<RequestRecord>>>,
-}
-
-impl LoadSender {
-    async fn send(self, planned: PlannedRequest, scheduled: Instant) {
-        let model = &self.deployment.services[planned.service];
-        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let request = LoadRequest::new(model, &format!("r{}-{number}", self.seed));
-        let zone = &self.zones[planned.zone];
-        let (outcome, resent) = match self.policy {
-            SteeringPolicy::Wisteria => self.callers.send(zone, &request).await,
-            policy => (self.send_direct(policy, &planned, &request).await, false),
-        };
-        let counted = request.method != http::Method::GET;
-        let record = RequestRecord {
-            service: planned.service,
-            key: if counted {
-                request.id.clone()
-            } else {
-                String::new()
-            },
-            once: request.is_once(),
-            latency: scheduled.elapsed(),
-            outcome,
-            resent,
-        };
-        lock(&self.records).push(record);
-    }
-
-    async fn send_direct(
-        &self,
-        policy: SteeringPolicy,
-        planned: &PlannedRequest,
-        request: &LoadRequest,
-    ) -> LoadOutcome {
-        let table = lock(&self.targets).get(&planned.service).cloned();
-        let zone = &self.zones[planned.zone];
-        let target = table.as_ref().and_then(|table| table.choose(policy, zone));
-        match target {
-            Some(target) => self.callers.send_to(target.address, zone, request).await,
-            None => LoadOutcome::NotRun("no-backend".to_string()),
-        }
-    }
-}
-
-/// Sends every request at its time, whatever became of those before, and waits for all.
-async fn send_all(plan: Vec<PlannedRequest>, start: Instant, sender: LoadSender) {
-    let mut sent = Vec::with_capacity(plan.len());
-    for planned in plan {
-        let scheduled = start + planned.at;
-        sleep_until(scheduled).await;
-        sent.push(task::spawn(sender.clone().send(planned, scheduled)));
-    }
-    for request in sent {
-        request.await;
-    }
-}
-
-async fn sleep_until(time: Instant) {
-    let left = time.saturating_duration_since(Instant::now());
-    if !left.is_zero() {
-        task::sleep(left).await;
-    }
-}
-
 fn no_fault() -> RawFault {
     RawFault {
         fault: None,
@@ -400,7 +322,3 @@
         ms: 0,
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/standin/tests/entry_host_dies_and_the_key_runs_once.rs
+++ b/crates/standin/tests/entry_host_dies_and_the_key_runs_once.rs
@@ -5,9 +5,10 @@
 use std::thread;
 use std::time::Duration;
 
-use proof::cluster::{BackendPlan, ProofCluster};
+use proof::cluster::ProofCluster;
 use proof::error::ProofError;
 use proof::http::{HttpAnswer, HttpCall};
+use proof::plan::BackendPlan;
 
 /// Entries that are on their way when the host dies.
 const ENTRIES: usize = 24;
--- a/crates/standin/tests/leaving_server_gets_no_new_work.rs
+++ b/crates/standin/tests/leaving_server_gets_no_new_work.rs
@@ -7,8 +7,9 @@
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use proof::cluster::{BackendPlan, ProofCluster};
+use proof::cluster::ProofCluster;
 use proof::http::HttpCall;
+use proof::plan::BackendPlan;
 
 /// Time after acceptance within which new work may still come.
 const LEAVING_BOUND: Duration = Duration::from_secs(3);
--- a/crates/standin/tests/planned_stop_cuts_nothing.rs
+++ b/crates/standin/tests/planned_stop_cuts_nothing.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use proof::cluster::{BackendPlan, ProofCluster};
+use proof::cluster::ProofCluster;
+use proof::plan::BackendPlan;
 use standin::load::caller::{CallerPool, LoadRequest};
 use standin::load::deployment::{Deployment, DeploymentName};
 use standin::load::outcome::LoadOutcome;
--- a/crates/standin/tests/restarted_entry_host_serves_nothing_old.rs
+++ b/crates/standin/tests/restarted_entry_host_serves_nothing_old.rs
@@ -3,8 +3,9 @@
 
 use std::time::{Duration, Instant};
 
-use proof::cluster::{BackendPlan, ProofCluster};
+use proof::cluster::ProofCluster;
 use proof::http::HttpCall;
+use proof::plan::BackendPlan;
 
 /// Tickets that pass the host by.
 const PASSED: u64 = 300;
