--- a/crates/registry/src/gauge.rs
+++ b/crates/registry/src/gauge.rs
@@ -17,6 +17,9 @@
 /// Time over which an own good answer speaks against a report of sickness.
 const TRUST_TIME: Duration = Duration::from_secs(10);
 
+/// Part by which a full load, as reported, lowers a server's weight.
+const LOAD_PART: f64 = 0.3;
+
 /// Weight of each new latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.1;
 
@@ -95,7 +98,7 @@
             (true, true) => 0.5,
             (true, false) => 0.1,
         };
-        (1.0 - load / 2.0) * health
+        (1.0 - load * LOAD_PART) * health
     }
 
     /// Records a health report; one older than [`MAX_REPORT_AGE`] is ignored.
