--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -40,6 +40,8 @@
     Split(String, u64, String),
     /// Answers after the head, before the body is read.
     SayEarly(String),
+    /// Closes after the head and before the body was read.
+    DieInBody,
     /// Closes each new connection before reading.
     CloseUnread,
 }
@@ -107,6 +109,10 @@
         self.connections.load(Ordering::SeqCst)
     }
 
+    pub fn has_closed(&self, count: usize) -> bool {
+        self.closed.load(Ordering::SeqCst) >= count
+    }
+
     /// Waits until this many connections were closed by the other side or by the act.
     pub fn wait_closed(&self, count: usize) -> bool {
         wait_until(|| self.closed.load(Ordering::SeqCst) >= count)
@@ -137,6 +143,9 @@
         if let Act::SayEarly(text) = &early {
             stream.write_all(text.as_bytes()).unwrap();
         }
+        if matches!(early, Act::DieInBody) {
+            return;
+        }
         let Some(body) = read_body(&mut stream, &mut buffer, &head) else {
             return;
         };
@@ -168,7 +177,7 @@
                 let _ = stream.read(&mut [0; 1]);
                 return;
             }
-            Act::SayEarly(_) | Act::CloseUnread => {}
+            Act::SayEarly(_) | Act::CloseUnread | Act::DieInBody => {}
         }
     }
 }
@@ -276,6 +285,10 @@
         let _ = self.stream.write_all(bytes);
     }
 
+    pub fn try_write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
     pub fn ask(&mut self, request: &str) -> Option<Answer> {
         self.write(request.as_bytes());
         self.answer(request.starts_with("HEAD"))
@@ -338,6 +351,14 @@
     held: Mutex<HashMap<(String, String), (u64, ClaimOutcome)>>,
 }
 
+impl MemoryClaims {
+    pub fn outcome(&self, service: &str, key: &str) -> Option<ClaimOutcome> {
+        let held = self.held.lock().unwrap();
+        let record = held.get(&(service.to_string(), key.to_string()));
+        record.map(|(_, outcome)| outcome.clone())
+    }
+}
+
 impl ClaimEdge for MemoryClaims {
     fn claim(&self, request: ClaimRequest) -> BoxFuture<'_, ClaimOutcome> {
         let mut held = self.held.lock().unwrap();
@@ -381,6 +402,7 @@
     pub address: SocketAddr,
     pub server: CallerServer,
     pub forwarder: Arc<RequestForwarder>,
+    pub claims: Arc<MemoryClaims>,
 }
 
 impl Rig {
@@ -408,7 +430,7 @@
         adjust(&mut settings);
         let routes = Arc::new(routes);
         let claims = Arc::new(MemoryClaims::default());
-        let forwarder = Arc::new(RequestForwarder::new(settings, routes, claims));
+        let forwarder = Arc::new(RequestForwarder::new(settings, routes, claims.clone()));
         let server = CallerServer::new(forwarder.clone(), Arc::new(Others));
         let address = async_std::task::block_on(async {
             let listener = tokio::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
@@ -422,6 +444,7 @@
             address,
             server,
             forwarder,
+            claims,
         }
     }
 
