fix(control): the first stamp comes as soon as a leader speaks for its quorum

It came up to 250 ms later, as the timer of the stamps ran from the election. Two tests of operator_interface failed under load (once in five runs): they took a replica that confirms its state for a ready one. They wait for /ready now, which is what they ask for; what they check is unchanged.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -172,6 +172,9 @@
             self.carry_out(now, effect);
         }
         self.snapshot_if_due(now);
+        if self.beats == 0 && self.speaks_for_quorum(now) {
+            self.beat_at = now;
+        }
     }
 
     fn carry_out(&mut self, now: Instant, effect: Effect) {
--- a/crates/control/tests/operator_interface.rs
+++ b/crates/control/tests/operator_interface.rs
@@ -25,9 +25,9 @@
         let plan = ProofCluster::plan().replicas(1).entry_hosts(0);
         let cluster = plan.start().unwrap();
         let address = cluster.replicas[0].operators;
-        wait::wait_until("a leader", common::BOUND, || {
-            let call = HttpCall::get(address, "/v1/state").bearer(TOKEN);
-            call.send().is_ok_and(|answer| answer.status == 200)
+        wait::wait_until("a ready replica", common::BOUND, || {
+            let answer = HttpCall::get(address, "/ready").send();
+            answer.is_ok_and(|answer| answer.status == 200)
         })
         .unwrap();
         Self { cluster, address }
--- a/crates/control/tests/stamps_name_what_is_in_force.rs
+++ b/crates/control/tests/stamps_name_what_is_in_force.rs
@@ -65,6 +65,8 @@
         }
     }
     core.synced(last.unwrap());
+    let first = stamped(&core.run(Duration::from_millis(20)));
+    assert_eq!(first, [1], "the first stamp comes at once");
     let stamps = stamped(&core.run(Duration::from_secs(1)));
     assert!(
         stamps.len() >= 3 && stamps.iter().all(|revision| *revision == 1),
