fix(control): a refused operator connection gets its refusal, not a reset

The connection was closed with unread bytes, which may reset it before the client has read the refusal. It is read on for at most 500 ms now; above 256 connections one more is closed without an answer.

--- a/crates/control/src/operator/listener.rs
+++ b/crates/control/src/operator/listener.rs
@@ -4,6 +4,7 @@
 //! request is read whole, within bounds, before the library sees it.
 
 use std::io::{self, Cursor};
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -29,6 +30,16 @@
     /// Most connections at once; others are refused.
     pub const MAX_CONNECTIONS: usize = 128;
 
+    /// Connections above which one more is closed without an answer.
+    pub const MAX_REFUSED: usize = 2 * Self::MAX_CONNECTIONS;
+
+    /// Time for which a refused client may still send before its connection is closed, so that the
+    /// refusal isn't lost to a reset.
+    pub const LINGER: Duration = Duration::from_millis(500);
+
+    /// Most bytes that are read from a refused client, of which it sends no more.
+    const LINGER_BYTES: u64 = 256 << 10;
+
     /// Time for the whole request to arrive.
     pub const REQUEST_BOUND: Duration = Duration::from_secs(5);
 
@@ -66,6 +77,9 @@
 
     fn take(&self, stream: TcpStream) {
         let slot = ConnectionSlot::take(&self.open);
+        if slot.number >= Self::MAX_REFUSED {
+            return;
+        }
         let app = self.app.clone();
         task::spawn(async move {
             let served = future::timeout(Self::EXCHANGE_BOUND, serve(stream, &slot, app));
@@ -80,17 +94,21 @@
 #[derive(Debug)]
 struct ConnectionSlot {
     open: Arc<AtomicUsize>,
-    admitted: bool,
+    /// Connections that were open before.
+    number: usize,
 }
 
 impl ConnectionSlot {
     fn take(open: &Arc<AtomicUsize>) -> Self {
-        let before = open.fetch_add(1, Ordering::AcqRel);
         Self {
             open: Arc::clone(open),
-            admitted: before < OperatorListener::MAX_CONNECTIONS,
+            number: open.fetch_add(1, Ordering::AcqRel),
         }
     }
+
+    fn is_admitted(&self) -> bool {
+        self.number < OperatorListener::MAX_CONNECTIONS
+    }
 }
 
 impl Drop for ConnectionSlot {
@@ -104,7 +122,7 @@
     slot: &ConnectionSlot,
     app: OperatorApp,
 ) -> http_types::Result<()> {
-    if !slot.admitted {
+    if !slot.is_admitted() {
         let refusal = HeadRefusal {
             status: "503 Service Unavailable",
             reason: "too many connections; come back later",
@@ -190,7 +208,13 @@
         body.len()
     );
     stream.write_all(answer.as_bytes()).await?;
-    stream.flush().await
+    stream.flush().await?;
+    stream.shutdown(Shutdown::Write)?;
+    let rest = stream.take(OperatorListener::LINGER_BYTES);
+    let drained = async_std::io::copy(rest, async_std::io::sink());
+    // Whatever still comes is of no interest.
+    let _ = future::timeout(OperatorListener::LINGER, drained).await;
+    Ok(())
 }
 
 /// Reads from one request that is whole, and writes to its connection.
