refactor(forward): give the request under way a file of its own

The digest of a request now counts its path's length, so that bytes moved from the body to the path make another request; a test row failed before.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -6,26 +6,24 @@
 
 use bytes::Bytes;
 use futures_util::future::{self, Either};
-use http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use http::{request, Request, Response, StatusCode, Uri};
+use http::header::{HeaderName, HeaderValue};
+use http::{request, Request, Response};
 use hyper::body::Incoming;
-use model::ids;
 use model::outcome::{self, RefusalReason};
 use tokio::sync::{oneshot, Semaphore};
-use xxhash_rust::xxh3::{self, Xxh3};
 
-use crate::attempt::{self, AttemptEnd, AttemptPlan, AttemptRunner, ConnectionChoice, SentCount};
-use crate::body::{self, AnswerBody, ReadBody, RequestBody, StreamedUpload, UploadState};
+use crate::attempt::{self, AttemptEnd, AttemptRunner, ConnectionChoice, SentCount};
+use crate::body::{self, AnswerBody, ReadBody, RequestBody, StreamedUpload};
 use crate::claimed::{ClaimEnd, ClaimOutcome, ClaimRequest, ClaimStep};
 use crate::edges::ClaimEdge;
 use crate::facts::{self, RequestFacts};
-use crate::headers;
 use crate::hold::{HoldBudget, HoldPermit};
 use crate::lease::RouteLease;
 use crate::metrics::{ExtraAttempt, ForwardMetrics};
 use crate::pool::PoolMap;
 use crate::refusal::RequestRefusal;
-use crate::routes::{RouteQuery, RouteSession, RouteTable};
+use crate::routes::{RouteSession, RouteTable};
+use crate::run::{self, ForwardRun};
 use crate::settings::ForwardSettings;
 
 type AnswerResult = Result<Response<AnswerBody>, RequestRefusal>;
@@ -41,95 +39,6 @@
     metrics: Option<ForwardMetrics>,
 }
 
-/// A request that is being forwarded.
-struct ForwardRun {
-    facts: RequestFacts,
-    plan: AttemptPlan,
-    body: Option<RequestBody>,
-    upload: Option<Arc<UploadState>>,
-    _hold: Option<HoldPermit>,
-    /// Why the last attempt brought no answer.
-    reason: RefusalReason,
-}
-
-impl ForwardRun {
-    /// Gives the body for an attempt; one that is passed on while it arrives goes only once.
-    fn take_body(&mut self) -> Option<RequestBody> {
-        match &self.body {
-            Some(RequestBody::Held(bytes)) => Some(RequestBody::Held(bytes.clone())),
-            _ => self.body.take(),
-        }
-    }
-
-    fn is_held(&self) -> bool {
-        matches!(self.body, Some(RequestBody::Held(_)))
-    }
-
-    fn give_back(&mut self, body: RequestBody, reason: RefusalReason) {
-        self.body = Some(body);
-        self.reason = reason;
-    }
-
-    fn query(&self) -> RouteQuery {
-        RouteQuery {
-            service: self.facts.service.clone(),
-            due: self.plan.due,
-            body_bytes: self.facts.body_bytes.unwrap_or(0),
-            idempotent: self.facts.idempotent,
-            seed: xxh3::xxh3_64(self.facts.request_id.as_bytes()),
-        }
-    }
-
-    /// Says that no attempt brought a whole answer.
-    fn failure(&self) -> RequestRefusal {
-        if self
-            .upload
-            .as_ref()
-            .is_some_and(|upload| upload.is_too_large())
-        {
-            return facts::too_large().after_sending(self.plan.sent.is_sent());
-        }
-        if self.plan.sent.is_sent() {
-            return RequestRefusal::unknown(
-                StatusCode::BAD_GATEWAY,
-                RefusalReason::BackendFailed,
-                "the backend server's answer was cut, malformed or never came",
-            );
-        }
-        let message = match self.reason {
-            RefusalReason::Overloaded => "backend servers are at their limits",
-            _ => "no backend server could be reached",
-        };
-        RequestRefusal::no_room(self.reason, attempt::RETRY_AFTER, message)
-    }
-
-    /// Says that the deadline passed.
-    fn late(&self) -> RequestRefusal {
-        late(&self.plan.sent)
-    }
-
-    fn claim(&self) -> Option<ClaimRequest> {
-        let key = self.facts.key.clone().filter(|_| !self.facts.idempotent)?;
-        Some(ClaimRequest {
-            service: self.facts.service.clone(),
-            key,
-            digest: self.digest(),
-        })
-    }
-
-    /// Digests the method, the path and the body, or its length where it is not held.
-    fn digest(&self) -> ids::Digest {
-        let mut hash = Xxh3::new();
-        hash.update(self.plan.method.as_str().as_bytes());
-        hash.update(self.plan.target.to_string().as_bytes());
-        match &self.body {
-            Some(RequestBody::Held(bytes)) => hash.update(bytes),
-            _ => hash.update(&self.facts.body_bytes.unwrap_or(u64::MAX).to_be_bytes()),
-        }
-        hash.digest()
-    }
-}
-
 impl RequestForwarder {
     /// Creates a forwarder.
     pub fn new(
@@ -231,10 +140,9 @@
         let hold = self.hold(&facts)?;
         let reading = self.read_body(&facts, incoming);
         let Ok(body) = tokio::time::timeout_at(due.into(), reading).await else {
-            return Err(late(&SentCount::default()));
+            return Err(run::late(&SentCount::default()));
         };
-        let mut run = start_run(parts, facts, body?, due)?;
-        run._hold = hold;
+        let run = ForwardRun::new(parts, facts, body?, due, hold)?;
         match run.claim() {
             Some(claim) => self.clone().answer_claimed(run, claim).await,
             None => self.answer_in_time(run).await,
@@ -314,7 +222,7 @@
             let _ = sender.send(result);
             self.claims.complete(claim, attempt, end).await;
         });
-        receiver.await.unwrap_or_else(|_| Err(late(&sent)))
+        receiver.await.unwrap_or_else(|_| Err(run::late(&sent)))
     }
 
     /// Runs a request, and gives up on it when its deadline passes.
@@ -326,7 +234,7 @@
         let sent = run.plan.sent.clone();
         match tokio::time::timeout_at(due.into(), self.run(&mut run)).await {
             Ok(result) => result,
-            Err(_) => Err(late(&sent)),
+            Err(_) => Err(run::late(&sent)),
         }
     }
 
@@ -435,66 +343,3 @@
     lease.give_back(now);
     None
 }
-
-/// Prepares a request for its attempts.
-fn start_run(
-    parts: request::Parts,
-    facts: RequestFacts,
-    body: RequestBody,
-    due: Instant,
-) -> Result<ForwardRun, RequestRefusal> {
-    let upload = match &body {
-        RequestBody::Held(_) => None,
-        RequestBody::Streamed(upload) => Some(upload.state()),
-    };
-    let plan = AttemptPlan {
-        target: target_of(&parts.uri)?,
-        headers: headers_to_pass_on(parts.headers, &parts.uri, &facts),
-        method: parts.method,
-        request_id: facts.request_id.clone(),
-        due,
-        sent: SentCount::default(),
-    };
-    Ok(ForwardRun {
-        facts,
-        plan,
-        body: Some(body),
-        upload,
-        _hold: None,
-        reason: RefusalReason::BackendFailed,
-    })
-}
-
-/// Says that the deadline of a request passed.
-fn late(sent: &SentCount) -> RequestRefusal {
-    let message = "the request can't be answered before its deadline";
-    if sent.is_sent() {
-        let status = StatusCode::GATEWAY_TIMEOUT;
-        return RequestRefusal::unknown(status, RefusalReason::DeadlineExceeded, message);
-    }
-    RequestRefusal::no_room(RefusalReason::DeadlineExceeded, LATE_RETRY_AFTER, message)
-}
-
-/// Time after which to come back with a longer deadline.
-const LATE_RETRY_AFTER: Duration = Duration::from_millis(200);
-
-/// Returns the path and query of a request's target.
-fn target_of(uri: &Uri) -> Result<Uri, RequestRefusal> {
-    let target = uri.path_and_query().map_or("/", |target| target.as_str());
-    Uri::try_from(target).map_err(|_| RequestRefusal::malformed("the path is malformed"))
-}
-
-/// Returns the headers of a request that are passed on.
-fn headers_to_pass_on(mut headers: HeaderMap, uri: &Uri, facts: &RequestFacts) -> HeaderMap {
-    headers::remove_hop_by_hop(&mut headers);
-    headers::remove_system_only(&mut headers);
-    headers.remove(header::EXPECT);
-    if let Some(authority) = uri.authority() {
-        if let Ok(host) = HeaderValue::from_str(authority.as_str()) {
-            headers.insert(header::HOST, host);
-        }
-    }
-    let id = HeaderName::from_static(outcome::REQUEST_ID_HEADER);
-    headers.insert(id, facts.request_id.clone());
-    headers
-}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -40,4 +40,5 @@
 mod connection;
 mod hold;
 mod pool;
+mod run;
 mod tap;
--- a/crates/forward/tests/keys.rs
+++ b/crates/forward/tests/keys.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use support::{ok, post, say, wait_until, Act, FakeBackend, Rig};
 
 const KEY: &str = "idempotency-key: k-1\r\n";
@@ -25,12 +26,15 @@
     assert_eq!(backend.runs(), 1);
 }
 
-#[test]
-fn another_request_with_the_key_never_runs() {
+#[rstest]
+#[case::body("/s/svc/a", "2")]
+#[case::path("/s/svc/b", "1")]
+#[case::bytes_moved_from_body_to_path("/s/svc/a1", "")]
+fn another_request_with_the_key_never_runs(#[case] path: &str, #[case] body: &str) {
     let backend = FakeBackend::start(vec![say(&ok("booked"))]);
     let rig = Rig::start(&[&backend]);
     rig.ask(&post("/s/svc/a", KEY, "1"));
-    let other = rig.ask(&post("/s/svc/a", KEY, "2"));
+    let other = rig.ask(&post(path, KEY, body));
     assert_eq!(other.verdict(), "422 not-run key-used");
     assert_eq!(backend.runs(), 1);
 }
