--- a/crates/forward/src/steered.rs
+++ b/crates/forward/src/steered.rs
@@ -204,9 +204,10 @@
         self.guard.retries.try_withdraw()
     }
 
-    /// Takes a second attempt beside a slow one out of the budget for hedges, if it is there.
+    /// Takes a second attempt beside a slow one out of the budget for hedges, if it is there; bulk
+    /// work can wait and has none.
     pub fn take_hedge(&mut self) -> bool {
-        self.guard.hedges.try_withdraw()
+        self.class != RequestClass::Bulk && self.guard.hedges.try_withdraw()
     }
 
     /// Takes room at the first place, or once more at the place of the attempt before.
--- a/crates/forward/tests/steered.rs
+++ b/crates/forward/tests/steered.rs
@@ -285,3 +285,15 @@
         "1 MB over 8 Mbit/s took {took:?}"
     );
 }
+
+#[rstest]
+#[case::read("read", 1)]
+#[case::bulk("bulk", 0)]
+fn only_work_that_cannot_wait_is_hedged(#[case] class: &str, #[case] hedges: usize) {
+    let slow = FakeBackend::start(vec![Act::SayLater(400, ok("slow"))]);
+    let other = FakeBackend::start(vec![say(&ok("other"))]);
+    let places = [(&slow, "altiplano-a"), (&other, "altiplano-b")];
+    let steered = Steered::start(class, [1e5, 1e5], &places);
+    assert_eq!(steered.rig.ask(&get("/s/svc/a")).status, 200);
+    assert_eq!(other.runs(), hedges);
+}
