--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -191,7 +191,7 @@
     }
 }
 
-fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+pub fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
     loop {
         if let Some(end) = find(buffer, b"\r\n\r\n") {
             let head = buffer.drain(..end + 4).collect();
@@ -201,7 +201,7 @@
     }
 }
 
-fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, head: &str) -> Option<Vec<u8>> {
+pub fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, head: &str) -> Option<Vec<u8>> {
     if header(head, "transfer-encoding").is_some() {
         let end = loop {
             if let Some(end) = find(buffer, b"0\r\n\r\n") {
