fix(forward): never tell a resend not-run before its key is settled

Cause: refusals for want of keepers, memory or time said not-run although the first request with the key may have run, so a resend after a lost answer could be told that no booking happened. Ruled out: choosing a backend server before the claim, which can't tell a resend from a first request. These refusals now say unknown; the same request with the same key stays safe to send. Two rows of the table fail with the change in prepare taken out.

--- a/crates/forward/src/claimed.rs
+++ b/crates/forward/src/claimed.rs
@@ -157,15 +157,22 @@
                 RefusalReason::KeyUsed,
                 "another request used this key; this one did not run and needs its own key",
             )),
-            ClaimOutcome::Unconfirmed => Self::Refuse(RequestRefusal::no_room(
-                RefusalReason::KeyUnconfirmed,
-                attempt::RETRY_AFTER,
-                "too few keepers of idempotency keys are in reach",
-            )),
+            ClaimOutcome::Unconfirmed => Self::Refuse(unconfirmed()),
         }
     }
 }
 
+/// Refuses a request whose key could not be settled: an earlier request with it may have run.
+fn unconfirmed() -> RequestRefusal {
+    RequestRefusal::unknown(
+        StatusCode::SERVICE_UNAVAILABLE,
+        RefusalReason::KeyUnconfirmed,
+        "too few keepers of idempotency keys are in reach to tell whether a request with this key \
+         ran before; send the same request again after Retry-After",
+    )
+    .retry_after(attempt::RETRY_AFTER)
+}
+
 fn in_progress() -> RequestRefusal {
     RequestRefusal::unknown(
         StatusCode::CONFLICT,
--- a/crates/forward/src/facts.rs
+++ b/crates/forward/src/facts.rs
@@ -27,7 +27,7 @@
     pub allowed: Duration,
     /// Identity of the request, made here where the caller gave none.
     pub request_id: HeaderValue,
-    /// Key under which a non-idempotent request runs at most once.
+    /// Key under which a non-idempotent request runs at most once; none for idempotent ones.
     pub key: Option<String>,
     /// Bytes of the body, where its head says so; none where the body is chunked.
     pub body_bytes: Option<u64>,
@@ -55,7 +55,7 @@
             idempotent,
             allowed,
             request_id: request_id.clone(),
-            key: read_key(&parts.headers)?,
+            key: read_key(&parts.headers)?.filter(|_| !idempotent),
             body_bytes,
         })
     }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -136,17 +136,30 @@
         id: &HeaderValue,
     ) -> AnswerResult {
         let facts = RequestFacts::read(&parts, id, &self.settings)?;
+        // Before its key is settled, a request may be the resend of one that ran.
+        let unsettled = facts.key.is_some();
+        let run = self.prepare(parts, facts, incoming).await;
+        let run = run.map_err(|refusal| refusal.may_have_run(unsettled))?;
+        match run.claim() {
+            Some(claim) => self.clone().answer_claimed(run, claim).await,
+            None => self.answer_in_time(run).await,
+        }
+    }
+
+    /// Reads what is to be held of a body before the first attempt.
+    async fn prepare(
+        &self,
+        parts: request::Parts,
+        facts: RequestFacts,
+        incoming: Incoming,
+    ) -> Result<ForwardRun, RequestRefusal> {
         let due = Instant::now() + facts.allowed;
         let hold = self.hold(&facts)?;
         let reading = self.read_body(&facts, incoming);
         let Ok(body) = tokio::time::timeout_at(due.into(), reading).await else {
             return Err(run::late(&SentCount::default()));
         };
-        let run = ForwardRun::new(parts, facts, body?, due, hold)?;
-        match run.claim() {
-            Some(claim) => self.clone().answer_claimed(run, claim).await,
-            None => self.answer_in_time(run).await,
-        }
+        ForwardRun::new(parts, facts, body?, due, hold)
     }
 
     /// Takes memory for a body that is going to be held.
@@ -194,11 +207,8 @@
         let Ok(permit) = self.claimed_runs.clone().try_acquire_owned() else {
             let message = "this entry host has too many runs under keys";
             let reason = RefusalReason::Overloaded;
-            return Err(RequestRefusal::no_room(
-                reason,
-                attempt::RETRY_AFTER,
-                message,
-            ));
+            let refusal = RequestRefusal::no_room(reason, attempt::RETRY_AFTER, message);
+            return Err(refusal.may_have_run(true));
         };
         let (sender, receiver) = oneshot::channel();
         async_std::task::spawn(async move {
--- a/crates/forward/src/refusal.rs
+++ b/crates/forward/src/refusal.rs
@@ -63,10 +63,11 @@
         self
     }
 
-    /// Turns the outcome into unknown where a byte of the request has gone out before.
+    /// Turns the outcome into unknown where this request, or an earlier one with its key, may have
+    /// run.
     #[must_use]
-    pub fn after_sending(mut self, sent: bool) -> Self {
-        if sent {
+    pub fn may_have_run(mut self, possible: bool) -> Self {
+        if possible {
             self.outcome = RequestOutcome::Unknown;
         }
         self
--- a/crates/forward/src/run.rs
+++ b/crates/forward/src/run.rs
@@ -103,7 +103,7 @@
             .as_ref()
             .is_some_and(|upload| upload.is_too_large())
         {
-            return facts::too_large().after_sending(self.plan.sent.is_sent());
+            return facts::too_large().may_have_run(self.plan.sent.is_sent());
         }
         if self.plan.sent.is_sent() {
             return RequestRefusal::unknown(
@@ -126,10 +126,9 @@
 
     /// Returns the claim of its key, where it has one and must not run twice.
     pub(crate) fn claim(&self) -> Option<ClaimRequest> {
-        let key = self.facts.key.clone().filter(|_| !self.facts.idempotent)?;
         Some(ClaimRequest {
             service: self.facts.service.clone(),
-            key,
+            key: self.facts.key.clone()?,
             digest: self.digest(),
         })
     }
--- a/crates/forward/tests/keys.rs
+++ b/crates/forward/tests/keys.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -104,3 +105,52 @@
     assert_eq!(again.verdict(), "409 unknown key-used");
     assert_eq!(backend.runs(), 1);
 }
+
+/// Why a resend is refused before its key is settled.
+#[derive(Debug, Clone, Copy)]
+enum Unsettled {
+    NoKeeper,
+    NoMemory,
+    NoTime,
+    TooManyRuns,
+}
+
+#[rstest]
+#[case::no_keeper(Unsettled::NoKeeper, "503 unknown key-unconfirmed")]
+#[case::no_memory(Unsettled::NoMemory, "503 unknown overloaded")]
+#[case::no_time(Unsettled::NoTime, "503 unknown deadline-exceeded")]
+#[case::too_many_runs(Unsettled::TooManyRuns, "503 unknown overloaded")]
+fn resend_refused_before_its_key_is_settled_is_never_told_not_run(
+    #[case] why: Unsettled,
+    #[case] verdict: &str,
+) {
+    let backend = FakeBackend::start(vec![say(&ok("booked")), Act::Hang]);
+    let rig = Rig::with(&[&backend], |settings| {
+        settings.max_held_bytes = 100;
+        settings.max_claimed_runs = 1;
+    });
+    assert_eq!(rig.ask(&post("/s/svc/a", KEY, "1")).text(), "booked");
+    assert!(wait_until(|| rig.forwarder.claimed_runs() == 0));
+    let mut other = rig.caller();
+    let mut resend = post("/s/svc/a", KEY, "1");
+    match why {
+        Unsettled::NoKeeper => rig.claims.unreachable.store(true, Ordering::SeqCst),
+        Unsettled::NoMemory => {
+            other.write(b"POST /s/svc/b HTTP/1.1\r\nhost: e\r\ncontent-length: 100\r\n\r\nx");
+            assert!(wait_until(|| rig.forwarder.held_bytes() == 100));
+        }
+        Unsettled::NoTime => {
+            resend = post(
+                "/s/svc/a",
+                &format!("{KEY}wisteria-deadline-ms: 50\r\n"),
+                "1",
+            );
+            resend.pop();
+        }
+        Unsettled::TooManyRuns => {
+            other.write(post("/s/svc/b", "idempotency-key: k-2\r\n", "1").as_bytes());
+            assert!(wait_until(|| backend.runs() == 2));
+        }
+    }
+    assert_eq!(rig.ask(&resend).verdict(), verdict);
+}
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -357,6 +357,8 @@
 /// Keys in memory, as one entry host alone would keep them.
 #[derive(Default)]
 pub struct MemoryClaims {
+    /// No keeper is in reach.
+    pub unreachable: AtomicBool,
     held: Mutex<HashMap<(String, String), (u64, ClaimOutcome)>>,
 }
 
@@ -372,6 +374,7 @@
     fn claim(&self, request: ClaimRequest) -> BoxFuture<'_, ClaimOutcome> {
         let mut held = self.held.lock().unwrap();
         let outcome = match held.get(&(request.service.clone(), request.key.clone())) {
+            _ if self.unreachable.load(Ordering::SeqCst) => ClaimOutcome::Unconfirmed,
             None => {
                 let running = (request.digest, ClaimOutcome::InProgress);
                 held.insert((request.service, request.key), running);
