test(steer): count all scenario windows from one moment

The scenario test passed alone and failed beside others in one process: windows are aligned to the first moment that the process names, and each fleet started at its own.

--- a/crates/steer/tests/fleet/mod.rs
+++ b/crates/steer/tests/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
 use control::shares::{PlaceRates, ShareTable};
@@ -99,7 +100,10 @@
 
 impl Fleet {
     pub(crate) fn new(ticket: &str, seed: u64, faults: Vec<Fault>) -> Self {
-        let start = Instant::now();
+        // Counted windows are aligned to the first moment that the process names, so all fleets
+        // start at that one and count alike.
+        static START: OnceLock<Instant> = OnceLock::new();
+        let start = *START.get_or_init(Instant::now);
         let mut fleet = Self {
             start,
             now_ms: 0,
