--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -37,6 +37,14 @@
 }
 
 impl EntryPayload {
+    /// Returns the bytes of the command; 0 where there is none.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Command(command) => command.len(),
+            Self::Empty | Self::Admit { .. } | Self::Found { .. } => 0,
+        }
+    }
+
     /// Returns the replicas that the entry admits, with their incarnations.
     pub fn admissions(&self) -> Vec<(ids::ReplicaId, ids::Incarnation)> {
         match self {
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -69,6 +69,25 @@
             .collect()
     }
 
+    /// Returns the entries from one on for one message: at most `limit`, and at least one where
+    /// there is one, but no more after `bytes` of commands.
+    pub(crate) fn batch(&self, from: ids::LogIndex, limit: usize, bytes: usize) -> Vec<LogEntry> {
+        let mut batch = Vec::new();
+        let mut taken = 0;
+        for index in from..=self.last_index() {
+            let Some(entry) = self.get(index) else {
+                break;
+            };
+            let full = batch.len() >= limit || taken + entry.payload.bytes() > bytes;
+            if full && !batch.is_empty() {
+                break;
+            }
+            taken += entry.payload.bytes();
+            batch.push(entry.clone());
+        }
+        batch
+    }
+
     /// Appends an entry that follows the last one.
     pub(crate) fn append(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -11,6 +11,8 @@
 use crate::writes::SyncNeed;
 
 impl QuorumMachine {
+    /// Bytes of commands in one message, after which no further entry is put into it.
+    const BATCH_BYTES: usize = 1 << 20;
     /// Most batches on their way to one replica.
     const WINDOW_BATCHES: u64 = 4;
 
@@ -105,7 +107,7 @@
         let mut entries = Vec::new();
         let window = Self::WINDOW_BATCHES * batch as u64;
         if !waits && progress.next <= progress.matched + window.max(1) {
-            entries = self.log.slice(progress.next, batch);
+            entries = self.log.batch(progress.next, batch, Self::BATCH_BYTES);
         }
         if entries.is_empty() && !heartbeat {
             return;
--- a/crates/quorum/tests/support/world.rs
+++ b/crates/quorum/tests/support/world.rs
@@ -9,7 +9,7 @@
 use quorum::fault::PlantedFault;
 use quorum::ids;
 use quorum::machine::QuorumMachine;
-use quorum::message::Message;
+use quorum::message::{Message, MessageBody};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -49,6 +49,8 @@
     pub nodes: BTreeMap<ids::ReplicaId, TestNode>,
     pub ledger: GlobalLedger,
     pub odds: NetworkOdds,
+    /// Most entries in a message; drawn at each start where not set.
+    pub batch: Option<usize>,
     pub random: SmallRng,
     pub blocked: BTreeSet<(ids::ReplicaId, ids::ReplicaId)>,
     pub outcomes: BTreeMap<ids::RequestId, AnswerOutcome>,
@@ -76,6 +78,7 @@
             nodes: BTreeMap::new(),
             ledger: GlobalLedger::default(),
             odds,
+            batch: None,
             random: SmallRng::seed_from_u64(seed),
             blocked: BTreeSet::new(),
             outcomes: BTreeMap::new(),
@@ -127,7 +130,8 @@
     pub fn start(&mut self, id: ids::ReplicaId) {
         let mut config = QuorumConfig::new(id, self.ids());
         config.seed = self.random.random();
-        config.batch = self.random.random_range(1..=4);
+        let batch = self.random.random_range(1..=4);
+        config.batch = self.batch.unwrap_or(batch);
         let now = self.now;
         let fault = self.fault;
         let Some(node) = self.nodes.get_mut(&id) else {
@@ -407,6 +411,20 @@
         }
     }
 
+    /// Returns the most bytes of commands in a message that is on its way.
+    pub fn largest_message(&self) -> usize {
+        let sizes = self
+            .network
+            .values()
+            .map(|(_, _, message)| match &message.body {
+                MessageBody::Append { entries, .. } => {
+                    entries.iter().map(|entry| entry.payload.bytes()).sum()
+                }
+                _ => 0,
+            });
+        sizes.max().unwrap_or(0)
+    }
+
     /// Goes on to the next thing that happens by itself.
     pub fn step(&mut self) -> Checked {
         const LONGEST: Duration = Duration::from_secs(1);
