feat(entry): claim idempotency keys at a majority of three keepers

Cause: a request sent again through a second entry host ran twice, since each host knew only its own keys. Change: the claims machines joined to the peers: claims, ends of runs told until confirmed, recovery of a restarted keeper from all others.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -10,6 +10,8 @@
 use registry::BackendRegistry;
 use telemetry::metrics::MetricRegistry;
 
+use crate::keepers::HostKeepers;
+use crate::links::PeerLinks;
 use crate::peers::PeerTable;
 use crate::settings::EntrySettings;
 use crate::standing::{HostStanding, StandingFacts};
@@ -28,6 +30,10 @@
     pub registry: Arc<BackendRegistry>,
     /// Routes and look-ups.
     pub steering: HostSteering,
+    /// Idempotency keys that this host keeps.
+    pub keepers: HostKeepers,
+    /// Connections to other entry hosts.
+    pub links: PeerLinks,
     /// Metrics of the process.
     pub metrics: MetricRegistry,
     /// Number that grows with each start of the process.
@@ -52,12 +58,16 @@
     pub fn new(settings: EntrySettings, clock: TimeSource, metrics: MetricRegistry) -> Self {
         let peers = PeerTable::new(clock.now(), settings.name.clone());
         let registry = Arc::new(BackendRegistry::new());
+        let keepers = HostKeepers::new(clock.now());
+        let links = PeerLinks::new(settings.token.clone());
         Self {
             settings,
             clock,
             holder: Arc::default(),
             steering: HostSteering::new(Arc::clone(&registry)),
             registry,
+            keepers,
+            links,
             metrics,
             incarnation: start_number(),
             exchanges: ExchangeCounts::default(),
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -22,10 +22,20 @@
         "in_force": &*view.state,
         "peers": context.peers().report(now),
         "backend_servers": snapshot.entries().map(|entry| backend(entry)).collect::<Vec<_>>(),
+        "keys": keys(context),
         "steering": context.steering.report(now),
     })
 }
 
+fn keys(context: &EntryContext) -> Value {
+    let keeper = context.keepers.keeper();
+    json!({
+        "recovering": keeper.is_recovering(context.now()),
+        "records": keeper.len(),
+        "bytes": keeper.bytes(),
+    })
+}
+
 fn backend(entry: &BackendEntry) -> Value {
     let announcement = &entry.announcement;
     json!({
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -23,7 +23,7 @@
 use crate::context::EntryContext;
 use crate::keys::KeyClaims;
 use crate::service::PeerService;
-use crate::{exchange, leases, polls, steering};
+use crate::{exchange, keepers, leases, polls, steering};
 
 /// Time beyond callers' kept answers for which a stopping host still takes work.
 pub const LAPSE_MARGIN: Duration = Duration::from_millis(1_000);
@@ -111,7 +111,7 @@
         .http2_keepalive_timeout(Some(dial::PING_TIMEOUT))
         .add_service(InterceptedService::new(feed, token.checker()))
         .add_service(InterceptedService::new(peer, token.checker()))
-        .serve_with_incoming(incoming);
+        .serve_with_incoming(wire::listen::bounded(incoming));
     task::spawn(async move {
         if let Err(e) = server.await {
             log::error!(target: "peers", "the server for peers ended: {e}");
@@ -132,6 +132,7 @@
     );
     task::spawn(watcher.run());
     task::spawn(steering::run(Arc::clone(context)));
+    task::spawn(keepers::recover(Arc::clone(context)));
     task::spawn(exchange::run(Arc::clone(context)));
     task::spawn(leases::run(Arc::clone(context)));
     task::spawn(polls::run(Arc::clone(context)));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,19 +15,25 @@
 //! | [`steering`] | routes and look-ups, made anew as state changes |
 //! | [`lookup`] | which entry hosts a caller should use |
 //! | [`dump`] | the whole state as JSON |
-//! | [`keys`] | idempotency keys |
+//! | [`keys`] | idempotency keys of requests, claimed before they run |
+//! | [`keepers`] | the keys that this host keeps |
+//! | [`claim_wire`] | records of keys as wire messages |
+//! | [`links`] | connections to other entry hosts |
 //! | [`service`] | calls of other entry hosts |
 //! | [`answers`] | what is answered besides forwarded requests |
 //! | [`host`] | start and planned stop |
 
 pub mod answers;
+pub mod claim_wire;
 pub mod context;
 pub mod convert;
 pub mod dump;
 pub mod exchange;
 pub mod host;
+pub mod keepers;
 pub mod keys;
 pub mod leases;
+pub mod links;
 pub mod lookup;
 pub mod peers;
 pub mod polls;
--- a/crates/entry/src/steering.rs
+++ b/crates/entry/src/steering.rs
@@ -124,6 +124,7 @@
         if is_new {
             let own = (&*context.settings.name, &*context.settings.zone);
             context.registry.set_state(now, &state);
+            context.keepers.set_state(now, &state);
             context.steering.set_state(now, own, &state);
         }
         let mode = serve_mode(context.standing());
