fix(forward): refuse connections beyond the bound by what they ask

Cause: the refusal was written before the request was read, so a resend under a key was told not-run on a full host. Up to 256 connections beyond the bound are now read for their request, within 1 s, and one with a key gets unknown.

--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -10,13 +10,13 @@
 use bytes::Bytes;
 use futures_util::future::{self, Either, FutureExt};
 use http::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use model::outcome::RefusalReason;
+use model::outcome::{self, RefusalReason};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
@@ -43,6 +43,12 @@
 const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time after which a caller without a connection comes back.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Most connections beyond the bound whose request is refused rather than cut.
+const REFUSED_CONNECTIONS: usize = 256;
+/// Longest wait for the head of a request that is refused for want of a connection.
+const REFUSED_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Most bytes of a body of a request that is not forwarded.
 const OTHER_BODY_BYTES: usize = 1 << 20;
 
@@ -76,6 +82,7 @@
     others: Arc<dyn OtherRoutes>,
     phase: watch::Sender<ServerPhase>,
     connections: Arc<Semaphore>,
+    refusals: Arc<Semaphore>,
 }
 
 impl CallerServer {
@@ -87,6 +94,7 @@
             others,
             phase: watch::Sender::new(ServerPhase::Serving),
             connections: Arc::new(connections),
+            refusals: Arc::new(Semaphore::new(REFUSED_CONNECTIONS)),
         };
         Self {
             shared: Arc::new(shared),
@@ -150,12 +158,34 @@
             Ok(permit) => {
                 async_std::task::spawn(shared.serve_connection(stream, peer, permit));
             }
-            Err(_) => refuse_connection(stream, shared.full_reason()).await,
+            Err(_) => shared.refuse_connection(stream),
         }
     }
 }
 
 impl SharedServer {
+    /// Refuses the request of a connection beyond the bound; beyond a second bound, closes it.
+    fn refuse_connection(self: Arc<Self>, stream: TcpStream) {
+        let Ok(permit) = self.refusals.clone().try_acquire_owned() else {
+            return;
+        };
+        let refusal = RequestRefusal::no_room(
+            self.full_reason(),
+            REFUSED_RETRY_AFTER,
+            "this entry host takes no more connections; ask another one",
+        );
+        async_std::task::spawn(async move {
+            let _permit = permit;
+            let service = service_fn(|request| future::ready(refuse(&request, &refusal)));
+            let mut http = server_builder(self.forwarder.settings())
+                .header_read_timeout(REFUSED_HEAD_TIMEOUT)
+                .keep_alive(false)
+                .serve_connection(TokioIo::new(stream), service);
+            let _ = future::poll_fn(|cx| http.poll_without_shutdown(cx)).await;
+            linger(http.into_parts().io.into_inner()).await;
+        });
+    }
+
     /// Says why no connection is free: a stopping server holds them all back.
     fn full_reason(&self) -> RefusalReason {
         match *self.phase.borrow() {
@@ -261,6 +291,16 @@
     response
 }
 
+/// Refuses a request for want of a connection; one with a key may be the resend of one that ran.
+fn refuse(
+    request: &Request<Incoming>,
+    refusal: &RequestRefusal,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let keyed = request.headers().contains_key(outcome::KEY_HEADER);
+    let refusal = refusal.clone().may_have_run(keyed);
+    Ok(refusal.to_response().map(AnswerBody::from))
+}
+
 /// Waits until connections without a request are to be closed.
 async fn wait_closed(phase: &mut watch::Receiver<ServerPhase>) {
     let _ = phase
@@ -300,31 +340,3 @@
     };
     let _ = tokio::time::timeout(LINGER_TIME, reading).await;
 }
-
-/// Tells a caller at once that no connection is free.
-async fn refuse_connection(mut stream: TcpStream, reason: RefusalReason) {
-    let refusal = RequestRefusal::no_room(
-        reason,
-        REFUSED_RETRY_AFTER,
-        "this entry host takes no more connections; ask another one",
-    );
-    let response = refusal.to_response();
-    let mut text = format!(
-        "HTTP/1.1 {}\r\nconnection: close\r\ncontent-length: {}\r\n",
-        StatusCode::SERVICE_UNAVAILABLE,
-        response.body().len()
-    );
-    for (name, value) in response.headers() {
-        let value = String::from_utf8_lossy(value.as_bytes());
-        text.push_str(&format!("{name}: {value}\r\n"));
-    }
-    text.push_str("\r\n");
-    text.push_str(&String::from_utf8_lossy(response.body()));
-    let _ = tokio::time::timeout(REFUSE_TIME, stream.write_all(text.as_bytes())).await;
-    async_std::task::spawn(linger(stream));
-}
-
-/// Time after which a caller without a connection comes back.
-const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Longest time to write a refusal on a connection beyond the bound.
-const REFUSE_TIME: Duration = Duration::from_millis(50);
--- a/crates/forward/tests/caller_contract.rs
+++ b/crates/forward/tests/caller_contract.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use support::{get, ok, post, say, wait_until, Act, Caller, FakeBackend, Rig};
+use support::{get, ok, post, say, wait_until, Act, FakeBackend, Rig};
 
 const MALFORMED: &str = "400 not-run bad-request";
 
@@ -105,15 +105,24 @@
     );
 }
 
-#[test]
-fn connection_beyond_the_bound_is_refused_at_once() {
+#[rstest]
+#[case::read(get("/s/svc/a"), "503 not-run overloaded")]
+#[case::write(post("/s/svc/a", "", "1"), "503 not-run overloaded")]
+#[case::perhaps_a_resend(
+    post("/s/svc/a", "idempotency-key: k\r\n", "1"),
+    "503 unknown overloaded"
+)]
+fn connection_beyond_the_bound_is_refused_at_once(#[case] request: String, #[case] verdict: &str) {
     let backend = FakeBackend::start(vec![say(&ok("x"))]);
     let rig = Rig::with(&[&backend], |settings| settings.max_connections = 1);
     let mut first = rig.caller();
     assert_eq!(first.ask(&get("/s/svc/a")).unwrap().status, 200);
-    let refused = Caller::connect(rig.address).answer(false).unwrap();
-    assert_eq!(refused.verdict(), "503 not-run overloaded");
+    let mut beyond = rig.caller();
+    let refused = beyond.ask(&request).unwrap();
+    assert_eq!(refused.verdict(), verdict);
     assert_eq!(refused.header("retry-after"), "1");
+    assert!(beyond.is_closed());
+    assert_eq!(backend.runs(), 1);
 }
 
 #[test]
