--- a/crates/claims/src/claimant.rs
+++ b/crates/claims/src/claimant.rs
@@ -205,7 +205,9 @@
             return Some(ClaimOutcome::Granted);
         }
         let possible = self.groups.iter().all(|group| self.is_possible(group));
-        if in_time && possible {
+        // A keeper that has not answered yet may know how the run of a held key ended.
+        let may_know_end = self.held().next().is_some() && self.awaits_keepers();
+        if in_time && (possible || may_know_end) {
             return None;
         }
         let mut held = self.held().collect::<Vec<_>>();
@@ -243,12 +245,22 @@
         grants.count() >= self.majority(group)
     }
 
+    /// Returns whether a keeper has neither answered nor failed.
+    fn awaits_keepers(&self) -> bool {
+        let keepers = self.keepers();
+        let mut open = keepers.iter().filter(|keeper| self.is_open(keeper));
+        open.next().is_some()
+    }
+
+    fn is_open(&self, keeper: &ids::HostName) -> bool {
+        !self.answers.contains_key(keeper) && !self.failed.contains(keeper)
+    }
+
     /// Returns whether a majority may still grant the key.
     fn is_possible(&self, group: &KeeperGroup) -> bool {
-        let hopeful = group.iter().filter(|keeper| {
-            let open = !self.answers.contains_key(*keeper) && !self.failed.contains(*keeper);
-            open || self.has_granted(keeper)
-        });
+        let hopeful = group
+            .iter()
+            .filter(|keeper| self.is_open(keeper) || self.has_granted(keeper));
         hopeful.count() >= self.majority(group)
     }
 
--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -101,6 +101,8 @@
     pub digest: ids::Digest,
     /// Requests a second that it wants to send to each place.
     pub demand: PlaceRates,
+    /// It could keep idempotency keys, and none has been granted yet.
+    pub open_keys: bool,
 }
 
 /// Shares of an entry host.
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -56,6 +56,8 @@
     last_request: quorum::ids::RequestId,
     reports: BTreeMap<ids::HostName, (Instant, HostReport)>,
     led_term: quorum::ids::Term,
+    /// Term in which this replica asked the log to open idempotency keys.
+    keys_asked_term: quorum::ids::Term,
     beats: u64,
     beat_at: Instant,
     metrics: ControlMetrics,
@@ -100,6 +102,7 @@
             last_request: 0,
             reports: BTreeMap::new(),
             led_term: 0,
+            keys_asked_term: 0,
             beats: 0,
             beat_at: now,
             metrics,
--- a/crates/control/src/core/applying.rs
+++ b/crates/control/src/core/applying.rs
@@ -12,13 +12,18 @@
 use super::ReplicaCore;
 
 impl ReplicaCore {
+    /// Command that opens idempotency keys; any other command is a ticket in JSON.
+    pub(super) const OPEN_KEYS: &[u8] = b"open-keys";
+
     /// Verdicts kept by log index, until their submitter is answered.
     const MAX_VERDICTS: usize = 8_192;
 
     pub(super) fn apply(&mut self, entry: LogEntry) {
         self.applied_term = entry.term;
-        if let EntryPayload::Command(command) = entry.payload {
-            self.apply_ticket(entry.index, command);
+        match entry.payload {
+            EntryPayload::Command(command) if command == Self::OPEN_KEYS => self.book.open_keys(),
+            EntryPayload::Command(command) => self.apply_ticket(entry.index, command),
+            EntryPayload::Empty | EntryPayload::Admit { .. } | EntryPayload::Found { .. } => (),
         }
         self.applied.send_replace(entry.index);
     }
--- a/crates/control/src/core/freshness.rs
+++ b/crates/control/src/core/freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use feed::view::BeatStamp;
+use quorum::event::Event;
 use wire::v1;
 
 use super::{CoreAction, ReplicaCore};
@@ -32,25 +32,37 @@
             sequence: self.beats,
             revision: self.book.state().revision,
             digest: self.book.state().digest,
+            keys_opened: self.book.keys_opened(),
         };
         self.take_beat(now, beat);
         self.actions.push(CoreAction::Beat(beat));
     }
 
     pub(super) fn take_beat(&mut self, now: Instant, beat: v1::Beat) {
-        let stamp = BeatStamp {
-            term: beat.term,
-            sequence: beat.sequence,
-        };
-        let taken = self
-            .holder
-            .publish_beat(now, stamp, beat.revision, beat.digest);
-        if let Err(e) = taken {
+        if let Err(e) = self.holder.publish_beat(now, beat.into()) {
             log::error!(target: "feed", "the leader's stamp was not taken: {e}");
         }
     }
 
+    /// Opens idempotency keys, once in the life of the log, as a host that could keep them asks.
+    fn open_keys(&mut self, now: Instant) {
+        let term = self.machine.term();
+        if self.book.keys_opened() || self.keys_asked_term == term {
+            return;
+        }
+        self.keys_asked_term = term;
+        self.last_request += 1;
+        let propose = Event::Propose {
+            request: self.last_request,
+            command: Self::OPEN_KEYS.to_vec(),
+        };
+        self.feed(now, propose);
+    }
+
     pub(super) fn lease(&mut self, now: Instant, report: HostReport) -> Option<LeaseGrant> {
+        if report.open_keys && self.speaks_for_quorum(now) {
+            self.open_keys(now);
+        }
         let grant = self.speaks_for_quorum(now).then(|| LeaseGrant {
             revision: self.book.state().revision,
             shares: self
--- a/crates/control/src/shares_service.rs
+++ b/crates/control/src/shares_service.rs
@@ -88,6 +88,7 @@
         revision: request.revision,
         digest: request.digest,
         demand,
+        open_keys: request.open_keys,
     })
 }
 
--- a/crates/entry/src/convert.rs
+++ b/crates/entry/src/convert.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use feed::view::BeatStamp;
 use feed::view::ForceView;
 use model::backend::{BackendAnnouncement, RawAnnouncement};
 use registry::SharedAnnouncement;
@@ -44,14 +43,7 @@
 
 /// Writes the freshness stamp of a view.
 pub fn beat(view: &ForceView) -> Option<v1::Beat> {
-    let BeatStamp { term, sequence } = view.stamp()?;
-    let (revision, digest) = view.beat_state;
-    Some(v1::Beat {
-        term,
-        sequence,
-        revision,
-        digest,
-    })
+    view.beat.map(|(beat, _)| beat.into())
 }
 
 /// Returns a duration in whole milliseconds.
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -8,6 +8,7 @@
 use feed::service::FeedService;
 use feed::watcher::FeedWatcher;
 use forward::forwarder::RequestForwarder;
+use forward::metrics::ForwardMetrics;
 use forward::routes::RouteTable;
 use forward::server::CallerServer;
 use forward::settings::ForwardSettings;
@@ -70,7 +71,8 @@
         start_tasks(&context);
         let routes = RouteTable::Steered(Arc::clone(context.steering.routes()));
         let claims = Arc::new(KeyClaims::new(Arc::clone(&context)));
-        let forwarder = RequestForwarder::new(ForwardSettings::default(), Arc::new(routes), claims);
+        let forwarder = RequestForwarder::new(ForwardSettings::default(), Arc::new(routes), claims)
+            .metrics(ForwardMetrics::new(&context.metrics.meter("forward")));
         let answers = EntryAnswers::new(Arc::clone(&context));
         let server = CallerServer::new(Arc::new(forwarder), Arc::new(answers));
         let serving = task::spawn({
--- a/crates/entry/src/keepers.rs
+++ b/crates/entry/src/keepers.rs
@@ -89,6 +89,13 @@
     }
 }
 
+/// Tells whether this host could keep keys, and none has been granted anywhere yet.
+pub fn may_open(context: &EntryContext) -> bool {
+    let now = context.now();
+    let whole = !context.keepers.keeper().is_recovering(now);
+    whole && context.holder.view().keys_opened() == Some(false)
+}
+
 /// Gets the records of the other hosts after a start, until it has those of all.
 pub async fn recover(context: Arc<EntryContext>) {
     loop {
@@ -98,7 +105,8 @@
             return;
         }
         let view = context.holder.view();
-        if view.confirmed && view.state.revision == 0 {
+        if view.confirmed && view.keys_opened() == Some(false) {
+            // No key was granted anywhere before the stamp, so none can be forgotten here.
             context.keepers.keeper().start_empty();
         } else if view.confirmed {
             recover_once(&context, now).await;
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -53,6 +53,9 @@
     }
 
     async fn run_claim(&self, request: ClaimRequest) -> ClaimOutcome {
+        if self.context.holder.view().keys_opened() != Some(true) {
+            return ClaimOutcome::Unconfirmed;
+        }
         let mut attempt = self.new_attempt(&request);
         let mut asked = FuturesUnordered::new();
         let mut effects = attempt.start(self.context.now());
--- a/crates/entry/src/leases.rs
+++ b/crates/entry/src/leases.rs
@@ -12,6 +12,7 @@
 
 use crate::context::EntryContext;
 use crate::exchange::ExchangeError;
+use crate::keepers;
 
 /// Time between two requests for shares.
 pub const LEASE_INTERVAL: Duration = Duration::from_millis(500);
@@ -103,6 +104,7 @@
         host: context.settings.name.clone(),
         revision: view.state.revision,
         digest: view.state.digest,
+        open_keys: keepers::may_open(context),
         demand: demand
             .into_iter()
             .map(|place| v1::PlaceDemand {
--- a/crates/feed/src/holder.rs
+++ b/crates/feed/src/holder.rs
@@ -14,7 +14,7 @@
 use quick_error::quick_error;
 use tokio::sync::watch;
 
-use crate::view::{BeatStamp, ForceView};
+use crate::view::{ForceBeat, ForceView};
 
 quick_error! {
     /// Why a change or snapshot was not taken.
@@ -164,24 +164,17 @@
     /// # Errors
     ///
     /// Fails where the stamp names the present revision with another digest.
-    pub fn publish_beat(
-        &self,
-        now: Instant,
-        stamp: BeatStamp,
-        revision: ids::Revision,
-        digest: ids::Digest,
-    ) -> Result<bool, HolderError> {
+    pub fn publish_beat(&self, now: Instant, beat: ForceBeat) -> Result<bool, HolderError> {
         let _recent = self.recent();
         let view = self.view();
-        if view.stamp().is_some_and(|latest| latest >= stamp) {
+        if view.stamp().is_some_and(|latest| latest >= beat.stamp) {
             return Ok(false);
         }
-        if view.state.revision == revision && view.state.digest != digest {
-            return Err(HolderError::Digest(revision));
+        if view.state.revision == beat.revision && view.state.digest != beat.digest {
+            return Err(HolderError::Digest(beat.revision));
         }
         let mut next = ForceView::clone(&view);
-        next.beat = Some((stamp, now));
-        next.beat_state = (revision, digest);
+        next.beat = Some((beat, now));
         next.confirmed |= next.is_current();
         self.store(next);
         Ok(true)
@@ -195,7 +188,6 @@
         recent.clear();
         let mut next = ForceView::empty();
         next.beat.clone_from(&self.view().beat);
-        next.beat_state = self.view().beat_state;
         self.store(next);
     }
 
--- a/crates/feed/src/service.rs
+++ b/crates/feed/src/service.rs
@@ -161,17 +161,11 @@
     }
 
     fn beat(&mut self, view: &ForceView) -> Option<Kind> {
-        let stamp = view.stamp()?;
-        if self.stamp == Some(stamp) {
+        let (beat, _) = view.beat?;
+        if self.stamp == Some(beat.stamp) {
             return None;
         }
-        self.stamp = Some(stamp);
-        let (revision, digest) = view.beat_state;
-        Some(Kind::Beat(v1::Beat {
-            term: stamp.term,
-            sequence: stamp.sequence,
-            revision,
-            digest,
-        }))
+        self.stamp = Some(beat.stamp);
+        Some(Kind::Beat(beat.into()))
     }
 }
--- a/crates/feed/src/watcher.rs
+++ b/crates/feed/src/watcher.rs
@@ -16,7 +16,6 @@
 
 use crate::holder::{ForceChange, HolderError, StateHolder};
 use crate::plan::SourcePlan;
-use crate::view::BeatStamp;
 
 quick_error! {
     /// Why a source is no longer followed.
@@ -168,16 +167,7 @@
                 digest: change.digest,
                 ticket: change.ticket,
             })?),
-            Kind::Beat(beat) => {
-                let stamp = BeatStamp {
-                    term: beat.term,
-                    sequence: beat.sequence,
-                };
-                let now = self.clock.now();
-                Ok(self
-                    .holder
-                    .publish_beat(now, stamp, beat.revision, beat.digest)?)
-            }
+            Kind::Beat(beat) => Ok(self.holder.publish_beat(self.clock.now(), beat.into())?),
         }
     }
 }
--- a/crates/feed/tests/holder.rs
+++ b/crates/feed/tests/holder.rs
@@ -6,11 +6,16 @@
 use std::time::Instant;
 
 use feed::holder::{HolderError, StateHolder};
-use feed::view::BeatStamp;
+use feed::view::{BeatStamp, ForceBeat};
 use support::{change, history};
 
-fn stamp(term: u64, sequence: u64) -> BeatStamp {
-    BeatStamp { term, sequence }
+fn beat(term: u64, sequence: u64, revision: u64, digest: u64) -> ForceBeat {
+    ForceBeat {
+        stamp: BeatStamp { term, sequence },
+        revision,
+        digest,
+        keys_opened: false,
+    }
 }
 
 #[test]
@@ -60,7 +65,7 @@
     holder.publish_snapshot(states[0].clone()).unwrap();
     assert!(!holder.view().confirmed);
     holder
-        .publish_beat(now, stamp(2, 7), 3, states[2].digest)
+        .publish_beat(now, beat(2, 7, 3, states[2].digest))
         .unwrap();
     assert!(!holder.view().confirmed, "two changes are missing");
     holder.publish_change(change(&states, 2)).unwrap();
@@ -74,13 +79,13 @@
     let states = history(1);
     let now = Instant::now();
     let holder = StateHolder::new();
-    let beat = |term, sequence| {
+    let publish = |term, sequence| {
         holder
-            .publish_beat(now, stamp(term, sequence), 1, states[0].digest)
+            .publish_beat(now, beat(term, sequence, 1, states[0].digest))
             .unwrap()
     };
     let taken = [(2, 5), (2, 5), (2, 4), (1, 9), (2, 6), (3, 1), (2, 7)]
-        .map(|(term, sequence)| beat(term, sequence));
+        .map(|(term, sequence)| publish(term, sequence));
     assert_eq!(taken, [true, false, false, false, true, true, false]);
 }
 
@@ -90,10 +95,10 @@
     let now = Instant::now();
     let holder = StateHolder::new();
     holder.publish_snapshot(states[2].clone()).unwrap();
-    let error = holder.publish_beat(now, stamp(1, 1), 3, states[2].digest ^ 1);
+    let error = holder.publish_beat(now, beat(1, 1, 3, states[2].digest ^ 1));
     assert!(matches!(error, Err(HolderError::Digest(3))));
     holder
-        .publish_beat(now, stamp(1, 2), 3, states[2].digest)
+        .publish_beat(now, beat(1, 2, 3, states[2].digest))
         .unwrap();
     holder.reset();
     assert!(!holder.view().confirmed);
--- a/crates/feed/tests/watcher.rs
+++ b/crates/feed/tests/watcher.rs
@@ -12,7 +12,7 @@
 use feed::holder::StateHolder;
 use feed::plan::SourcePlan;
 use feed::service::FeedService;
-use feed::view::BeatStamp;
+use feed::view::{BeatStamp, ForceBeat};
 use feed::watcher::FeedWatcher;
 use model::state::ForceState;
 use support::{change, history};
@@ -53,10 +53,13 @@
 }
 
 fn beat(holder: &StateHolder, sequence: u64, state: &ForceState) {
-    let stamp = BeatStamp { term: 1, sequence };
-    holder
-        .publish_beat(Instant::now(), stamp, state.revision, state.digest)
-        .unwrap();
+    let beat = ForceBeat {
+        stamp: BeatStamp { term: 1, sequence },
+        revision: state.revision,
+        digest: state.digest,
+        keys_opened: false,
+    };
+    holder.publish_beat(Instant::now(), beat).unwrap();
 }
 
 fn wait_until(bound: Duration, check: impl Fn() -> bool) -> bool {
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -28,6 +28,8 @@
     verdicts: BTreeMap<ids::TicketNumber, VerdictRecord>,
     lowest: ids::TicketNumber,
     window: usize,
+    #[serde(default)]
+    keys_opened: bool,
 }
 
 impl TicketBook {
@@ -44,6 +46,7 @@
             verdicts: BTreeMap::new(),
             lowest: 1,
             window: window.max(1),
+            keys_opened: false,
         }
     }
 
@@ -65,6 +68,19 @@
             .map(|(number, record)| (*number, record))
     }
 
+    /// Tells whether an idempotency key may have been granted.
+    ///
+    /// Entry hosts grant keys only once this is in force, so that one that starts before knows
+    /// that it has forgotten none.
+    pub fn keys_opened(&self) -> bool {
+        self.keys_opened
+    }
+
+    /// Notes for good that idempotency keys may be granted from now on.
+    pub fn open_keys(&mut self) {
+        self.keys_opened = true;
+    }
+
     /// Gives a ticket its verdict, and applies it where it is accepted.
     ///
     /// A ticket that comes again gets its first verdict.
