--- a/crates/claims/src/fault.rs
+++ b/crates/claims/src/fault.rs
@@ -13,6 +13,8 @@
     GrantByOne,
     /// A claim stays in force after its attempt's time.
     GrantAfterDeadline,
+    /// A host that starts claims keys without knowing which lists of hosts were in force.
+    ForgetFormerLists,
     /// A key is freed however its run ended.
     FreeAfterRun,
 }
--- a/crates/claims/tests/explorer.rs
+++ b/crates/claims/tests/explorer.rs
@@ -30,6 +30,7 @@
 #[case(PlantedFault::RecoverAtOnce)]
 #[case(PlantedFault::GrantByOne)]
 #[case(PlantedFault::GrantAfterDeadline)]
+#[case(PlantedFault::ForgetFormerLists)]
 #[case(PlantedFault::FreeAfterRun)]
 fn a_planted_fault_is_found(#[case] fault: PlantedFault) {
     let found = (0..SCHEDULES).find_map(|seed| {
