--- a/crates/claims/src/claimant.rs
+++ b/crates/claims/src/claimant.rs
@@ -206,7 +206,7 @@
         }
         let possible = self.groups.iter().all(|group| self.is_possible(group));
         // A keeper that has not answered yet may know how the run of a held key ended.
-        let may_know_end = self.held().next().is_some() && self.awaits_keepers();
+        let may_know_end = self.is_held_by_few() && self.awaits_keepers();
         if in_time && (possible || may_know_end) {
             return None;
         }
@@ -245,6 +245,13 @@
         grants.count() >= self.majority(group)
     }
 
+    /// Returns whether some keepers hold the key for another attempt, but no majority does.
+    fn is_held_by_few(&self) -> bool {
+        let held = self.held().count();
+        let by_majority = |group: &KeeperGroup| held >= self.majority(group);
+        held > 0 && !self.groups.iter().any(by_majority)
+    }
+
     /// Returns whether a keeper has neither answered nor failed.
     fn awaits_keepers(&self) -> bool {
         let keepers = self.keepers();
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -85,7 +85,8 @@
             _ => serde_json::from_slice(&recovered.snapshot.data)?,
         };
         let replicas = settings.replicas.keys().copied().collect();
-        let config = quorum::config::QuorumConfig::new(settings.id, replicas);
+        let mut config = quorum::config::QuorumConfig::new(settings.id, replicas);
+        config.seed = rand::random();
         let snapshot_index = recovered.snapshot.index;
         let applied_term = recovered.snapshot.term;
         let core = Self {
--- a/crates/entry/src/claim_wire.rs
+++ b/crates/entry/src/claim_wire.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use claims::record::{AttemptId, ClaimAnswer, ClaimRecord, ClaimState, KeptAnswer, RunEnd};
+use claims::ring::HostList;
 use tonic::Status;
 use wire::v1;
 
@@ -149,6 +150,22 @@
     }
 }
 
+/// Writes a list of entry hosts.
+pub fn list_to(list: HostList) -> v1::KeeperList {
+    v1::KeeperList {
+        hosts: list.hosts.into_iter().collect(),
+        remaining_ms: convert::millis(list.remaining),
+    }
+}
+
+/// Reads a list of entry hosts.
+pub fn list_from(message: v1::KeeperList) -> HostList {
+    HostList {
+        hosts: message.hosts.into_iter().collect(),
+        remaining: Duration::from_millis(message.remaining_ms),
+    }
+}
+
 fn state_to(state: ClaimState) -> (v1::ClaimState, Option<v1::KeptAnswer>) {
     match state {
         ClaimState::Claimed => (v1::ClaimState::Claimed, None),
--- a/crates/entry/src/keepers.rs
+++ b/crates/entry/src/keepers.rs
@@ -1,18 +1,19 @@
 //! The keys that this host keeps, and which hosts keep the others.
 
 use std::collections::{BTreeSet, HashMap};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use claims::keeper::{ClaimKeeper, KeeperLimits};
 use claims::record::{ClaimKey, ClaimRecord};
-use claims::ring::{KeeperGroup, KeeperRing};
+use claims::ring::{HostList, KeeperGroup, KeeperRing};
 use futures_util::stream::TryStreamExt;
 use model::ids;
 use model::state::{self, ForceState};
 use tonic::Status;
-use wire::dial;
+use wire::dial::{self, TokenChannel};
 use wire::v1;
 use wire::v1::peer_client::PeerClient;
 
@@ -26,6 +27,9 @@
 /// Time in which another host must have given its records.
 pub const RECOVER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest time that a host may lag behind the list of entry hosts and still take work.
+pub const LIST_LAG: Duration = Duration::from_secs(30);
+
 /// The keys that this host keeps, and which hosts keep the others.
 #[derive(Debug)]
 pub struct HostKeepers {
@@ -40,7 +44,7 @@
         let limits = KeeperLimits::default();
         Self {
             keeper: Mutex::new(ClaimKeeper::new(now, limits)),
-            ring: Mutex::new(KeeperRing::new([], limits.window)),
+            ring: Mutex::new(KeeperRing::new(now, [], limits.window + LIST_LAG)),
             addresses: Mutex::default(),
         }
     }
@@ -50,11 +54,22 @@
         self.keeper.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the groups of hosts that keep a key.
-    pub fn groups(&self, now: Instant, key: &ClaimKey) -> Vec<KeeperGroup> {
+    /// Returns the groups of hosts that keep a key; nothing while they aren't known.
+    pub fn groups(&self, now: Instant, key: &ClaimKey) -> Option<Vec<KeeperGroup>> {
         self.ring().groups(now, key)
     }
 
+    /// Returns the lists of hosts that may keep keys; nothing while they aren't known.
+    pub fn lists(&self, now: Instant) -> Option<Vec<HostList>> {
+        self.ring().lists(now)
+    }
+
+    /// Notes that no key was granted anywhere before, so that none can be forgotten here.
+    pub fn start_empty(&self) {
+        self.ring().start_empty();
+        self.keeper().start_empty();
+    }
+
     /// Returns where another host takes calls.
     pub fn address(&self, host: &str) -> Option<SocketAddr> {
         self.addresses().get(host).copied()
@@ -107,7 +122,7 @@
         let view = context.holder.view();
         if view.confirmed && view.keys_opened() == Some(false) {
             // No key was granted anywhere before the stamp, so none can be forgotten here.
-            context.keepers.keeper().start_empty();
+            context.keepers.start_empty();
         } else if view.confirmed {
             recover_once(&context, now).await;
         }
@@ -116,6 +131,10 @@
 }
 
 async fn recover_once(context: &EntryContext, now: Instant) {
+    if !context.keepers.ring().is_known(now) {
+        learn_lists(context, now).await;
+        return;
+    }
     let others = context.keepers.others(now, &context.settings.name);
     let wanted = context.keepers.keeper().hosts_to_ask(now, &others);
     for host in wanted {
@@ -130,12 +149,59 @@
     }
 }
 
-async fn fetch(context: &EntryContext, host: &str) -> Result<Vec<ClaimRecord>, ExchangeError> {
+/// Learns from any other host which lists of entry hosts still count.
+async fn learn_lists(context: &EntryContext, now: Instant) {
+    for host in context.keepers.others(now, &context.settings.name) {
+        match fetch_lists(context, &host).await {
+            Ok(Some(lists)) => {
+                context.keepers.ring().learn(context.now(), lists);
+                return;
+            }
+            Ok(None) => (),
+            Err(error) => log::debug!(target: "keys", "no lists from {host}: {error}"),
+        }
+    }
+}
+
+async fn fetch_lists(
+    context: &EntryContext,
+    host: &str,
+) -> Result<Option<Vec<HostList>>, ExchangeError> {
+    let call = |channel| async move {
+        let request = v1::KeeperListsRequest {};
+        let reply = PeerClient::new(channel).keeper_lists(request).await?;
+        Ok::<_, ExchangeError>(reply.into_inner())
+    };
+    let reply = call_host(context, host, call).await?;
+    let lists = reply.lists.into_iter().map(claim_wire::list_from);
+    Ok(reply.known.then(|| lists.collect()))
+}
+
+/// Calls another host over an open connection, which is forgotten where the call fails.
+async fn call_host<T, F>(
+    context: &EntryContext,
+    host: &str,
+    call: impl FnOnce(TokenChannel) -> F,
+) -> Result<T, ExchangeError>
+where
+    F: Future<Output = Result<T, ExchangeError>>,
+{
     let Some(address) = context.keepers.address(host) else {
         return Err(ExchangeError::Silent);
     };
-    let call = async {
-        let channel = context.links.channel(address).await?;
+    let work = async { call(context.links.channel(address).await?).await };
+    let result = match tokio::time::timeout(RECOVER_TIMEOUT, work).await {
+        Ok(result) => result,
+        Err(_) => Err(ExchangeError::Silent),
+    };
+    if result.is_err() {
+        context.links.forget(address);
+    }
+    result
+}
+
+async fn fetch(context: &EntryContext, host: &str) -> Result<Vec<ClaimRecord>, ExchangeError> {
+    let call = |channel| async move {
         let mut client =
             PeerClient::new(channel).max_decoding_message_size(dial::MAX_MESSAGE_BYTES);
         let request = v1::RecoverRequest {
@@ -143,15 +209,9 @@
         };
         let records = client.recover(request).await?.into_inner();
         let records: Vec<v1::ClaimRecord> = records.try_collect().await?;
-        let records = records.into_iter().map(claim_wire::record_from);
-        Ok::<_, ExchangeError>(records.collect::<Result<Vec<_>, Status>>()?)
-    };
-    let result = match tokio::time::timeout(RECOVER_TIMEOUT, call).await {
-        Ok(result) => result,
-        Err(_) => Err(ExchangeError::Silent),
+        Ok::<_, ExchangeError>(records)
     };
-    if result.is_err() {
-        context.links.forget(address);
-    }
-    result
+    let records = call_host(context, host, call).await?.into_iter();
+    let records = records.map(claim_wire::record_from);
+    Ok(records.collect::<Result<Vec<_>, Status>>()?)
 }
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -34,7 +34,7 @@
 const TELL_PAUSE: Duration = Duration::from_millis(50);
 
 /// Longest wait for a keeper beside this host to know how a run ended, before its caller does.
-const SETTLE_BOUND: Duration = Duration::from_millis(50);
+const SETTLE_BOUND: Duration = Duration::from_millis(100);
 
 /// Claims keys for the requests of this host.
 #[derive(Debug, Clone)]
@@ -56,7 +56,9 @@
         if self.context.holder.view().keys_opened() != Some(true) {
             return ClaimOutcome::Unconfirmed;
         }
-        let mut attempt = self.new_attempt(&request);
+        let Some(mut attempt) = self.new_attempt(&request) else {
+            return ClaimOutcome::Unconfirmed;
+        };
         let mut asked = FuturesUnordered::new();
         let mut effects = attempt.start(self.context.now());
         loop {
@@ -86,16 +88,18 @@
         }
     }
 
-    fn new_attempt(&self, request: &ClaimRequest) -> ClaimAttempt {
+    /// Returns an attempt, or nothing while the hosts that may keep the key aren't known.
+    fn new_attempt(&self, request: &ClaimRequest) -> Option<ClaimAttempt> {
         let now = self.context.now();
         let key: ClaimKey = format!("{}/{}", request.service, request.key);
-        let groups = self.context.keepers.groups(now, &key);
+        let groups = self.context.keepers.groups(now, &key)?;
         let id = AttemptId {
             host: self.context.settings.name.clone(),
             number: rand::random(),
         };
         let bound = CLAIM_BOUND.min(KeeperLimits::default().attempt);
-        ClaimAttempt::new(id, key, request.digest, groups, now + bound)
+        let deadline = now + bound;
+        Some(ClaimAttempt::new(id, key, request.digest, groups, deadline))
     }
 
     /// Asks a keeper for the key, this host itself without a call.
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -67,6 +67,19 @@
         Ok(Response::new(v1::CompleteReply {}))
     }
 
+    async fn keeper_lists(
+        &self,
+        _: Request<v1::KeeperListsRequest>,
+    ) -> Result<Response<v1::KeeperListsReply>, Status> {
+        let lists = self.context.keepers.lists(self.context.now());
+        let known = lists.is_some();
+        let lists = lists.into_iter().flatten().map(claim_wire::list_to);
+        Ok(Response::new(v1::KeeperListsReply {
+            known,
+            lists: lists.collect(),
+        }))
+    }
+
     async fn recover(
         &self,
         _: Request<v1::RecoverRequest>,
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -229,8 +229,16 @@
             };
             let result = self.answer_in_time(run).await;
             let end = ClaimEnd::of(&result, self.settings.kept_answer_bytes);
-            let _ = sender.send(result);
+            if result.is_err() {
+                // A refusal is told at once.
+                let _ = sender.send(result);
+                self.claims.complete(claim, attempt, end).await;
+                return;
+            }
+            // The keepers know the answer before the caller, as far as they take it in time, so
+            // that it isn't lost with this host.
             self.claims.complete(claim, attempt, end).await;
+            let _ = sender.send(result);
         });
         receiver.await.unwrap_or_else(|_| Err(run::late(&sent)))
     }
--- a/crates/standin/tests/keys_hold_over_restarts.rs
+++ b/crates/standin/tests/keys_hold_over_restarts.rs
@@ -49,6 +49,10 @@
     let hosts: Vec<_> = cluster.hosts.iter().map(|host| host.callers).collect();
     let first = send_until_confirmed(hosts[0], "k1");
     assert_eq!(first.status, 200, "{first:?}");
+    wait_until("a kept answer", READY_BOUND, || {
+        send(hosts[1], "k1").header("wisteria-replayed") == "true"
+    })
+    .unwrap();
     for (place, address) in hosts.iter().enumerate() {
         cluster.hosts[place].process.kill().unwrap();
         cluster.hosts[place].process.restart().unwrap();
