test(proof): a cluster is set up once keyed requests are served too

A fresh cluster refuses keyed requests until its keepers are open; tests of at-most-once work must not start before.

--- a/crates/proof/src/cluster.rs
+++ b/crates/proof/src/cluster.rs
@@ -150,17 +150,24 @@
             self.hosts.iter().all(EntryHost::is_ready)
         })?;
         for standin in &self.standins {
-            self.wait_served(&standin.service)?;
+            self.wait_served(standin)?;
         }
         Ok(revision)
     }
 
-    /// Waits until every entry host serves a read of a service.
-    fn wait_served(&self, service: &str) -> Result<Duration, ProofError> {
-        let what = format!("every entry host serves {service}");
+    /// Waits until every entry host serves a request of a stand-in's service; one under an
+    /// idempotency key where the service must run requests at most once.
+    fn wait_served(&self, standin: &BackendStandin) -> Result<Duration, ProofError> {
+        let path = format!("/s/{}/probe", standin.service);
+        let what = format!("every entry host serves {}", standin.service);
         wait::wait_until(&what, TICKET_BOUND, || {
             self.hosts.iter().all(|host| {
-                let call = HttpCall::get(host.callers, format!("/s/{service}/probe"));
+                let call = match standin.class.as_str() {
+                    // The same key again is safe, and tells whether the answer was kept.
+                    "write" => HttpCall::post(host.callers, &path)
+                        .header("idempotency-key", format!("probe-{}", host.callers.port())),
+                    _ => HttpCall::get(host.callers, &path),
+                };
                 call.send().is_ok_and(|answer| answer.status == 200)
             })
         })
