--- a/crates/guard/src/limit.rs
+++ b/crates/guard/src/limit.rs
@@ -20,14 +20,15 @@
 ///
 /// The server's slots are divided over the entry hosts that use it. The limit starts at one
 /// request and grows by one with each round of answers, up to the fair share; above it, up to all
-/// slots, it grows slowly and only while answers come as fast as ever. Sheds, failures and slow
-/// answers cut it.
+/// slots, it grows slowly and only while answers come as fast as ever. Sheds and failures cut it;
+/// slow answers bring it back to the fair share, so that the time without a queue is seen again.
 #[derive(Debug)]
 pub struct AdaptiveLimit {
     in_flight: AtomicU32,
     limit: AtomicFigure,
     fair_share: AtomicFigure,
     slots: AtomicU32,
+    latency: AtomicFigure,
     best_latency: AtomicFigure,
     cut_at: AtomicU64,
 }
@@ -41,11 +42,14 @@
 /// Shortest time between two cuts.
 const CUT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Ratio of a latency to the best one from which answers count as slow.
-const SLOW_RATIO: f64 = 2.0;
+/// Ratio of the average latency to the best average from which answers count as slow.
+const SLOW_RATIO: f64 = 3.0;
 
-/// Part by which the best latency drifts up with each answer, so that it forgets.
-const BEST_DRIFT: f64 = 0.001;
+/// Weight of each new latency in the average; a lower one would take chance for slowness.
+const LATENCY_WEIGHT: f64 = 0.02;
+
+/// Part by which the best average drifts up with each answer, so that it forgets.
+const BEST_DRIFT: f64 = 0.0005;
 
 /// Growth above the fair share for each answer, divided by the limit.
 const PROBE_STEP: f64 = 0.1;
@@ -58,6 +62,7 @@
             limit: AtomicFigure::new(MIN_LIMIT),
             fair_share: AtomicFigure::new(MIN_LIMIT),
             slots: AtomicU32::new(slots),
+            latency: AtomicFigure::new(f64::INFINITY),
             best_latency: AtomicFigure::new(f64::INFINITY),
             cut_at: AtomicU64::new(0),
         };
@@ -78,6 +83,7 @@
     /// Goes back to one request at a time, for a server that is probed or has restarted.
     pub fn restart(&self) {
         self.limit.set(MIN_LIMIT);
+        self.latency.set(f64::INFINITY);
         self.best_latency.set(f64::INFINITY);
     }
 
@@ -103,7 +109,7 @@
     pub fn record(&self, now: Instant, sample: LimitSample) {
         match sample {
             LimitSample::Answered(latency) => self.record_answer(now, latency),
-            LimitSample::Shed | LimitSample::Failed => self.cut(now),
+            LimitSample::Shed | LimitSample::Failed => self.cut(now, CUT, MIN_LIMIT),
         }
     }
 
@@ -123,16 +129,12 @@
     }
 
     fn record_answer(&self, now: Instant, latency: Duration) {
-        let latency = latency.as_secs_f64();
-        let best = self
-            .best_latency
-            .update(|best| (best * (1.0 + BEST_DRIFT)).min(latency));
-        if latency > best * SLOW_RATIO && self.limit() > self.fair_share.get() {
-            self.cut(now);
+        let share = self.fair_share.get();
+        if self.is_slow(latency.as_secs_f64()) && self.limit() > share {
+            self.cut(now, 0.0, share);
             return;
         }
         let used = f64::from(self.in_flight()) + 1.0;
-        let share = self.fair_share.get();
         let most = f64::from(self.slots.load(Ordering::Relaxed)).max(share);
         self.limit.update(|limit| {
             if used < limit.floor() {
@@ -143,7 +145,20 @@
         });
     }
 
-    fn cut(&self, now: Instant) {
+    /// Takes a latency in seconds and tells whether answers have become slow.
+    fn is_slow(&self, latency: f64) -> bool {
+        let average = self.latency.update(|average| match average.is_finite() {
+            true => average + LATENCY_WEIGHT * (latency - average),
+            false => latency,
+        });
+        let best = self
+            .best_latency
+            .update(|best| (best * (1.0 + BEST_DRIFT)).min(average));
+        average > best * SLOW_RATIO
+    }
+
+    /// Cuts the limit to a part of it, but not below a least one.
+    fn cut(&self, now: Instant, part: f64, least: f64) {
         let now = atomic::nanos_of(now);
         let pause = CUT_PAUSE.as_nanos() as u64;
         let due = |last: u64| (last == 0 || now >= last + pause).then_some(now);
@@ -151,7 +166,8 @@
             .cut_at
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, due);
         if won.is_ok() {
-            self.limit.update(|limit| (limit * CUT).max(MIN_LIMIT));
+            self.limit
+                .update(|limit| (limit * part).max(least.min(limit)));
         }
     }
 }
--- a/crates/guard/tests/limits.rs
+++ b/crates/guard/tests/limits.rs
@@ -137,6 +137,39 @@
     assert!(limit.limit() <= 40.0);
 }
 
+/// Returns the limit after answers of a server whose times vary by chance and grow by a factor
+/// for each request in flight beyond some.
+fn limit_after_answers(bears: u32) -> f64 {
+    let limit = AdaptiveLimit::new(20, 10);
+    let start = Instant::now();
+    let mut chance = 1_u64;
+    for step in 0..5000 {
+        while limit.try_acquire() {}
+        let over = (limit.in_flight() / bears).max(1);
+        // Times from nothing to four times the mean, as an exponential distribution gives them.
+        chance = chance
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        let part = ((chance >> 33) as f64 / f64::from(1_u32 << 31)).max(0.02);
+        let time = MS.mul_f64(-10.0 * part.ln()) * over * over;
+        limit.record(start + MS * step * 5, LimitSample::Answered(time));
+        (0..limit.in_flight()).for_each(|_| limit.release());
+    }
+    limit.limit()
+}
+
+#[rstest]
+#[case::bears_all(1000, 15.0, 20.0)]
+#[case::bears_three(3, 2.0, 12.0)]
+fn a_limit_follows_slowness_and_not_chance(
+    #[case] bears: u32,
+    #[case] least: f64,
+    #[case] most: f64,
+) {
+    let limit = limit_after_answers(bears);
+    assert!((least..=most).contains(&limit), "{limit}");
+}
+
 #[rstest]
 #[case::shed(LimitSample::Shed)]
 #[case::failed(LimitSample::Failed)]
--- a/crates/steer/src/builder.rs
+++ b/crates/steer/src/builder.rs
@@ -237,7 +237,8 @@
             let gauge =
                 known.map_or_else(|| Arc::new(RegionGauge::new(self.now, name)), Arc::clone);
             let wait = self.raise_wait(known.is_none());
-            gauge.set_share(self.region_share(name, table, region, &gauge.share(), wait));
+            let share = self.region_share(name, table, region, &gauge.share(), wait);
+            gauge.set_share(self.now, share);
             table.regions.insert(name.to_string(), gauge);
         }
     }
--- a/crates/steer/src/lookup.rs
+++ b/crates/steer/src/lookup.rs
@@ -77,6 +77,29 @@
         .with_hosts(state, closed)
     }
 
+    /// Creates a table of blocks that are not held in a state; `sites` names the zones that the
+    /// blocks number.
+    pub fn from_blocks(
+        state: &ForceState,
+        closed: &BTreeSet<ids::HostName>,
+        sites: Vec<ids::ZoneName>,
+        blocks: &[SiteBlock],
+    ) -> Self {
+        let numbers = (0..NO_SITE).zip(&sites);
+        let numbers = numbers.map(|(site, name)| (name.clone(), site)).collect();
+        let sites = SiteNames {
+            names: sites,
+            numbers,
+        };
+        Self {
+            blocks: BlockTable::new(blocks),
+            sites: Arc::new(sites),
+            zones: HashMap::new(),
+            all: Arc::from([]),
+        }
+        .with_hosts(state, closed)
+    }
+
     /// Returns the table with the entry hosts of a state and without the closed ones.
     #[must_use]
     pub fn with_hosts(&self, state: &ForceState, closed: &BTreeSet<ids::HostName>) -> Self {
--- a/crates/steer/src/region.rs
+++ b/crates/steer/src/region.rs
@@ -7,6 +7,7 @@
 use guard::{RequestClass, WindowLimit};
 use model::ids;
 
+use crate::meter::TimedValue;
 use crate::place::PlaceGauge;
 use crate::share::SettledRate;
 
@@ -20,9 +21,15 @@
     /// Region.
     pub region: ids::RegionName,
     share: ArcSwap<RegionShare>,
+    /// Sum of the leases of the region's places, summed anew after [`LEASED_AGE`].
+    leased: TimedValue,
     window: WindowLimit,
 }
 
+/// Age from which the sum of leases is summed anew. A lease that ended counts for that much
+/// longer, well within the time for which another host waits before it uses a raised lease.
+const LEASED_AGE: Duration = Duration::from_millis(10);
+
 /// A region's share of one entry host.
 #[derive(Debug, Clone)]
 pub struct RegionShare {
@@ -35,10 +42,8 @@
 }
 
 impl RegionShare {
-    /// Returns the rate that the host may send, in requests a second.
-    pub fn rate(&self, now: Instant) -> f64 {
-        let leased: f64 = self.places.iter().map(|place| place.leased(now)).sum();
-        self.floor.get(now) + self.factor.get(now) * leased
+    fn leased(&self, now: Instant) -> f64 {
+        self.places.iter().map(|place| place.leased(now)).sum()
     }
 }
 
@@ -53,6 +58,7 @@
         Self {
             region: region.to_string(),
             share: ArcSwap::from_pointee(share),
+            leased: TimedValue::new(now, 0.0),
             window: WindowLimit::default(),
         }
     }
@@ -68,7 +74,7 @@
             RequestClass::Read => 0.9,
             RequestClass::Write => 1.0,
         };
-        let rate = self.share.load().rate(now) * part;
+        let rate = self.rate(now) * part;
         self.window.try_take(now, rate)
     }
 
@@ -77,9 +83,21 @@
         self.window.give_back(taken_at);
     }
 
+    /// Returns the rate that the host may send, in requests a second.
+    pub fn rate(&self, now: Instant) -> f64 {
+        let share = self.share.load();
+        let sum_anew = |_, age| (age >= LEASED_AGE).then(|| share.leased(now));
+        let leased = match self.leased.update(now, sum_anew) {
+            Ok(leased) | Err(leased) => leased,
+        };
+        share.floor.get(now) + share.factor.get(now) * leased
+    }
+
     /// Replaces the share.
-    pub fn set_share(&self, share: RegionShare) {
+    pub fn set_share(&self, now: Instant, share: RegionShare) {
+        let leased = share.leased(now);
         self.share.store(Arc::new(share));
+        let _leased = self.leased.update(now, |_, _| Some(leased));
     }
 
     /// Returns the share.
--- a/crates/steer/tests/fleet/mod.rs
+++ b/crates/steer/tests/fleet/mod.rs
@@ -2,10 +2,11 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
 use control::shares::{PlaceRates, ShareTable};
-use guard::{atomic, RequestClass};
+use guard::RequestClass;
 use model::raw::RawTicket;
 use model::spec::ServiceClass;
 use model::state::{self, ForceState};
@@ -99,7 +100,10 @@
 
 impl Fleet {
     pub(crate) fn new(ticket: &str, seed: u64, faults: Vec<Fault>) -> Self {
-        let start = whole_millisecond(Instant::now());
+        // Windows are counted in parts of the process's time base, which begins at the first
+        // moment it is given; all scenarios start at that one and count alike.
+        static START: OnceLock<Instant> = OnceLock::new();
+        let start = *START.get_or_init(Instant::now);
         let mut fleet = Self {
             start,
             now_ms: 0,
@@ -425,9 +429,3 @@
     let raw = RawTicket::from_toml(text).unwrap();
     ChangeTicket::try_from(raw).unwrap()
 }
-
-/// Returns the moment's whole millisecond of the process's time base, so that a scenario's times
-/// round alike in every run.
-fn whole_millisecond(moment: Instant) -> Instant {
-    moment - Duration::from_nanos(atomic::nanos_of(moment) % 1_000_000)
-}
--- a/crates/steer/tests/fleet/trace.rs
+++ b/crates/steer/tests/fleet/trace.rs
@@ -103,6 +103,8 @@
         for (service, sent) in &self.sent {
             let refused = self.refused.get(service).copied().unwrap_or_default();
             let part = 100.0 * refused as f64 / (sent + refused) as f64;
+            let rate = (*sent * SECOND as u64) as f64 / (self.now - self.reported) as f64;
+            eprintln!("{service}: {rate:.0}/s sent, {part:.1}% refused");
             lines.push(format!("{service}: {}", refused_class(part)));
         }
         self.reported = self.now;
@@ -126,7 +128,8 @@
             return Some(line);
         };
         let growth = greatest_growth(&series.counts, mark as usize) / (shift + hosts as f64);
-        Some(format!("{line}, growth {} the shift", verdict(growth)))
+        let verdict = verdict(&format!("{key} growth"), growth);
+        Some(format!("{line}, growth {verdict} the shift"))
     }
 
     fn link_line(&self, key: &str, name: &str, series: &Series) -> Option<String> {
@@ -134,18 +137,19 @@
         let (a, b) = if from < to { (from, to) } else { (to, from) };
         let capacity = self.caps.link.get(&format!("{a}/{b}"))?;
         let greatest = greatest_window(&series.counts, |_| *capacity);
-        Some(format!("{key}: {} its cap", verdict(greatest)))
+        Some(format!("{key}: {} its cap", verdict(key, greatest)))
     }
 }
 
 fn headroom_line(key: &str, series: &Series) -> Option<String> {
     let cap = |at: usize| series.caps.get(at).copied().unwrap_or(f64::INFINITY);
     let greatest = greatest_window(&series.counts, cap);
-    (greatest > 0.0).then(|| format!("{key}: {} its cap", verdict(greatest)))
+    (greatest > 0.0).then(|| format!("{key}: {} its cap", verdict(key, greatest)))
 }
 
-/// Tells whether a greatest part of what is allowed holds.
-fn verdict(part: f64) -> &'static str {
+/// Tells whether a greatest part of what is allowed holds; the figure goes to standard error.
+fn verdict(what: &str, part: f64) -> &'static str {
+    eprintln!("{what}: {:.0}%", part * 100.0);
     if part > 1.0 + 1e-9 {
         return "BROKEN over";
     }
