fix(steer): use leases at once after a start, tell when a host has settled

A host that started at a revision above 1 refused everything for 5 s: the factor on its region's leases waited like a raise. RouteTable::is_settled tells callers' look-ups when the host has its fixed parts.

--- a/crates/steer/src/builder.rs
+++ b/crates/steer/src/builder.rs
@@ -14,7 +14,7 @@
 use crate::place::PlaceGauge;
 use crate::plan::{AnswerSize, PlaceRoute, ServiceRoute};
 use crate::region::{RegionGauge, RegionShare};
-use crate::share::{CapChange, HostSeat, RAISE_WAIT};
+use crate::share::{CapChange, HostSeat, SettledRate, RAISE_WAIT};
 use crate::table::{PlaceName, RouteTable};
 
 /// Bytes a second of one megabit a second.
@@ -70,6 +70,8 @@
         let frame = TableFrame::new(&self, now);
         let mut table = RouteTable {
             revision: self.state.revision,
+            is_seated: frame.seat.is_some(),
+            settles_at: frame.settles_at(),
             ..RouteTable::default()
         };
         frame.put_places(&mut table);
@@ -130,6 +132,15 @@
         RAISE_WAIT
     }
 
+    /// Returns when a host that has just started, or has just come into force, has its fixed
+    /// parts.
+    fn settles_at(&self) -> Option<Instant> {
+        match self.builder.previous {
+            Some(table) if table.is_seated => table.settles_at,
+            _ => Some(self.now + self.raise_wait(false)),
+        }
+    }
+
     fn services(&self) -> impl Iterator<Item = (&'a str, &'a spec::ServiceSpec)> {
         state::live(&self.builder.state.services)
     }
@@ -236,8 +247,7 @@
                 .and_then(|table| table.regions.get(name));
             let gauge =
                 known.map_or_else(|| Arc::new(RegionGauge::new(self.now, name)), Arc::clone);
-            let wait = self.raise_wait(known.is_none());
-            let share = self.region_share(name, table, region, &gauge.share(), wait);
+            let share = self.region_share(name, table, region, &gauge.share(), known.is_none());
             gauge.set_share(self.now, share);
             table.regions.insert(name.to_string(), gauge);
         }
@@ -249,8 +259,9 @@
         table: &RouteTable,
         region: &spec::RegionSpec,
         old: &RegionShare,
-        wait: Duration,
+        is_new: bool,
     ) -> RegionShare {
+        let wait = self.raise_wait(is_new);
         let places: Vec<Arc<PlaceGauge>> = table
             .places
             .values()
@@ -266,7 +277,11 @@
         let floor = self.fixed_part(region.cap, name);
         RegionShare {
             floor: old.floor.set(self.now, floor, wait),
-            factor: old.factor.set(self.now, factor, wait),
+            // A host that has just started holds no lease yet that a raised factor could raise.
+            factor: match is_new {
+                true => SettledRate::new(self.now, factor),
+                false => old.factor.set(self.now, factor, wait),
+            },
             places,
         }
     }
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -56,6 +56,10 @@
 #[derive(Debug, Default)]
 pub struct RouteTable {
     pub(crate) revision: ids::Revision,
+    /// Whether the host is in force.
+    pub(crate) is_seated: bool,
+    /// When the host has its fixed parts, or nothing for a table of no state.
+    pub(crate) settles_at: Option<Instant>,
     pub(crate) services: HashMap<ids::ServiceName, Arc<ServiceRoute>>,
     pub(crate) places: BTreeMap<PlaceName, Arc<PlaceGauge>>,
     pub(crate) regions: BTreeMap<ids::RegionName, Arc<RegionGauge>>,
@@ -114,6 +118,12 @@
         self.revision
     }
 
+    /// Tells whether the host is in force and has its fixed parts of caps and links; callers are
+    /// better sent elsewhere before.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.is_seated && self.settles_at.is_some_and(|at| at <= now)
+    }
+
     /// Returns the gauges of a place.
     pub fn place(&self, service: &str, zone: &str) -> Option<&Arc<PlaceGauge>> {
         self.places.get(&(service.to_string(), zone.to_string()))
--- a/crates/steer/tests/promises.rs
+++ b/crates/steer/tests/promises.rs
@@ -158,6 +158,33 @@
     assert!((10..=20).contains(&taken), "{taken}");
 }
 
+#[test]
+fn a_host_that_starts_again_uses_leases_at_once_and_fixed_parts_after_a_wait() {
+    let mut state = two_regions();
+    apply(
+        &mut state,
+        "number = 2\n[link.\"karachi/lahore\"]\nmbits = 90.0\n",
+    );
+    let start = Instant::now();
+    let table = table(&state, start);
+    let lease = ShareGrant {
+        service: "booking",
+        zone: "karachi-a",
+        rate: 100.0,
+        ttl: SECOND * 60,
+        revision: 2,
+    };
+    table.grant(start, &lease);
+    let taken = |now| std::iter::from_fn(|| permit(&table, now)).count();
+    assert_eq!(taken(start + MS * 50), 0);
+    assert_eq!(taken(start + MS * 300), 10, "one window of the lease");
+    assert!(!table.is_settled(start + MS * 4999));
+    assert!(table.is_settled(start + RAISE_WAIT));
+    assert!(taken(start + RAISE_WAIT) > 1);
+    let place = table.place("booking", "karachi-a").unwrap();
+    assert_eq!(place.share().rate(start + RAISE_WAIT), 150.0);
+}
+
 #[rstest]
 #[case::unknown_service("print-orders", RefusalReason::UnknownService)]
 #[case::no_share("booking", RefusalReason::CapReached)]
