test(steer): show that a lost entry host hardly refuses

Ramps and fixed parts are kept per host, so a surviving host might have refused the callers that it takes over.

--- a/crates/steer/tests/fleet/mod.rs
+++ b/crates/steer/tests/fleet/mod.rs
@@ -54,6 +54,7 @@
     table: RouteTable,
     pending: VecDeque<(u64, ChangeTicket)>,
     cut: bool,
+    stopped: bool,
     rng: SmallRng,
 }
 
@@ -61,7 +62,7 @@
     /// Callers use the hosts of their zone that are in force.
     fn is_called_from(&self, zone: &str) -> bool {
         let held = self.state.hosts.get(&self.name);
-        self.zone == zone && held.is_some_and(|held| held.spec.is_some())
+        !self.stopped && self.zone == zone && held.is_some_and(|held| held.spec.is_some())
     }
 }
 
@@ -133,6 +134,7 @@
                 table: RouteTable::default(),
                 pending: VecDeque::new(),
                 cut: false,
+                stopped: false,
                 rng: SmallRng::seed_from_u64(seed * 1000 + index as u64),
             });
         }
@@ -167,6 +169,12 @@
         host.unwrap().cut = cut;
     }
 
+    pub(crate) fn stop_host(&mut self, name: &str) {
+        let host = self.hosts.iter_mut().find(|host| host.name == name);
+        let host = host.unwrap();
+        (host.cut, host.stopped) = (true, true);
+    }
+
     pub(crate) fn set_lost(&mut self, region: &str, lost: bool) {
         match lost {
             true => self.lost.insert(region.to_string()),
--- a/crates/steer/tests/scenarios.rs
+++ b/crates/steer/tests/scenarios.rs
@@ -111,6 +111,7 @@
         ["region", name, "back"] => fleet.set_lost(name, false),
         ["host", name, "cut", "off"] => fleet.set_cut(name, true),
         ["host", name, "back"] => fleet.set_cut(name, false),
+        ["host", name, "stopped"] => fleet.stop_host(name),
         ["leader", "lost"] => fleet.set_leader(false),
         ["leader", "new"] => fleet.set_leader(true),
         _ => panic!("unknown event {line}"),
