--- a/crates/steer/tests/fleet/mod.rs
+++ b/crates/steer/tests/fleet/mod.rs
@@ -2,10 +2,11 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use control::shares::{PlaceRates, ShareTable};
-use guard::{atomic, RequestClass};
+use guard::{RequestClass, RequestDeadline, RoomWait, WaitingRoom};
 use model::raw::RawTicket;
 use model::spec::ServiceClass;
 use model::state::{self, ForceState};
@@ -53,6 +54,7 @@
     table: RouteTable,
     pending: VecDeque<(u64, ChangeTicket)>,
     cut: bool,
+    stopped: bool,
     rng: SmallRng,
 }
 
@@ -60,7 +62,7 @@
     /// Callers use the hosts of their zone that are in force.
     fn is_called_from(&self, zone: &str) -> bool {
         let held = self.state.hosts.get(&self.name);
-        self.zone == zone && held.is_some_and(|held| held.spec.is_some())
+        !self.stopped && self.zone == zone && held.is_some_and(|held| held.spec.is_some())
     }
 }
 
@@ -69,7 +71,7 @@
     host: usize,
     load: Load,
     retry_at: u64,
-    give_up_at: u64,
+    wait: RoomWait,
 }
 
 struct Transfer {
@@ -92,14 +94,18 @@
     transfers: BTreeMap<u64, Transfer>,
     due: BinaryHeap<Reverse<(u64, u64)>>,
     waiting: VecDeque<Waiting>,
-    pub(crate) wait_ms: u64,
+    room: Arc<WaitingRoom>,
+    pub(crate) waits: bool,
     next_transfer: u64,
     pub(crate) trace: Trace,
 }
 
 impl Fleet {
     pub(crate) fn new(ticket: &str, seed: u64, faults: Vec<Fault>) -> Self {
-        let start = whole_millisecond(Instant::now());
+        // Windows are counted in parts of the process's time base, which begins at the first
+        // moment it is given; all scenarios start at that one and count alike.
+        static START: OnceLock<Instant> = OnceLock::new();
+        let start = *START.get_or_init(Instant::now);
         let mut fleet = Self {
             start,
             now_ms: 0,
@@ -112,7 +118,8 @@
             transfers: BTreeMap::new(),
             due: BinaryHeap::new(),
             waiting: VecDeque::new(),
-            wait_ms: 0,
+            room: Arc::new(WaitingRoom::default()),
+            waits: false,
             next_transfer: 0,
             trace: Trace::default(),
         };
@@ -127,6 +134,7 @@
                 table: RouteTable::default(),
                 pending: VecDeque::new(),
                 cut: false,
+                stopped: false,
                 rng: SmallRng::seed_from_u64(seed * 1000 + index as u64),
             });
         }
@@ -161,6 +169,12 @@
         host.unwrap().cut = cut;
     }
 
+    pub(crate) fn stop_host(&mut self, name: &str) {
+        let host = self.hosts.iter_mut().find(|host| host.name == name);
+        let host = host.unwrap();
+        (host.cut, host.stopped) = (true, true);
+    }
+
     pub(crate) fn set_lost(&mut self, region: &str, lost: bool) {
         match lost {
             true => self.lost.insert(region.to_string()),
@@ -272,7 +286,7 @@
                 let mut rate = load.rate / of_zone.len() as f64 / 1000.0;
                 while rate > 0.0 {
                     if self.hosts[*index].rng.random::<f64>() < rate {
-                        self.send(*index, &load, self.now_ms + self.wait_ms);
+                        self.send(*index, &load, None);
                     }
                     rate -= 1.0;
                 }
@@ -289,25 +303,38 @@
                 self.waiting.push_back(request);
                 continue;
             }
-            self.send(request.host, &request.load, request.give_up_at);
+            self.send(request.host, &request.load, Some(request.wait));
         }
     }
 
-    fn refuse(&mut self, index: usize, load: &Load, wait: Duration, give_up_at: u64) {
-        let retry_at = self.now_ms + (wait.as_micros().div_ceil(1000) as u64).max(1);
-        if retry_at > give_up_at {
+    fn refuse(
+        &mut self,
+        index: usize,
+        load: &Load,
+        class: RequestClass,
+        retry_after: Duration,
+        wait: Option<RoomWait>,
+    ) {
+        let now = self.now();
+        let enter = || {
+            let deadline = RequestDeadline::after(now, RequestDeadline::DEFAULT);
+            self.room.enter(now, class, deadline)
+        };
+        let wait = wait.or_else(|| self.waits.then(enter).flatten());
+        let pause = wait.as_ref().and_then(|wait| wait.pause(now, retry_after));
+        let (Some(wait), Some(pause)) = (wait, pause) else {
             self.trace.refused(&load.service);
             return;
-        }
+        };
         self.waiting.push_back(Waiting {
             host: index,
             load: load.clone(),
-            retry_at,
-            give_up_at,
+            retry_at: self.now_ms + pause.as_micros().div_ceil(1000) as u64,
+            wait,
         });
     }
 
-    fn send(&mut self, index: usize, load: &Load, give_up_at: u64) {
+    fn send(&mut self, index: usize, load: &Load, wait: Option<RoomWait>) {
         let now = self.now();
         let host = &self.hosts[index];
         let class =
@@ -327,7 +354,7 @@
         let (permit, mut plan) = match host.table.route(now, &query) {
             RouteDecision::Go { permit, plan } => (permit, plan),
             RouteDecision::Refuse(refusal) => {
-                self.refuse(index, load, refusal.retry_after, give_up_at);
+                self.refuse(index, load, class, refusal.retry_after, wait);
                 return;
             }
         };
@@ -338,7 +365,10 @@
         }
         match permit {
             Some(permit) => self.admit(index, permit, load),
-            None => self.refuse(index, load, plan.refusal().retry_after, give_up_at),
+            None => {
+                let retry_after = plan.refusal().retry_after;
+                self.refuse(index, load, class, retry_after, wait);
+            }
         }
     }
 
@@ -425,9 +455,3 @@
     let raw = RawTicket::from_toml(text).unwrap();
     ChangeTicket::try_from(raw).unwrap()
 }
-
-/// Returns the moment's whole millisecond of the process's time base, so that a scenario's times
-/// round alike in every run.
-fn whole_millisecond(moment: Instant) -> Instant {
-    moment - Duration::from_nanos(atomic::nanos_of(moment) % 1_000_000)
-}
