--- a/crates/standin/tests/examples_are_well_formed.rs
+++ b/crates/standin/tests/examples_are_well_formed.rs
@@ -23,10 +23,12 @@
 }
 
 #[rstest]
-#[case::cumbre("load/cumbre.toml")]
-#[case::roshni("load/roshni.toml")]
-fn scenarios(#[case] name: &str) {
-    assert_eq!(scenario(&example(name)).unwrap().phases.len(), 6);
+#[case::cumbre("load/cumbre.toml", 6)]
+#[case::roshni("load/roshni.toml", 6)]
+#[case::cumbre_faults("load/cumbre-faults.toml", 2)]
+#[case::roshni_faults("load/roshni-faults.toml", 2)]
+fn scenarios(#[case] name: &str, #[case] phases: usize) {
+    assert_eq!(scenario(&example(name)).unwrap().phases.len(), phases);
 }
 
 #[test]
