feat(forward): let a bounded count of requests wait 100 ms for room

Change: the first attempt of a request waits for room in guard's waiting room, at most 100 ms and a quarter of its time left; once given up it is refused at once. Work that the class shedder refuses doesn't wait.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -265,7 +265,7 @@
             if number > 0 {
                 self.count_extra(ExtraAttempt::Retry);
             }
-            let lease = match session.next_lease(Instant::now()) {
+            let lease = match lease_or_wait(&mut session).await {
                 Ok(lease) => lease,
                 Err(refusal) if number == 0 => return Err(refusal),
                 Err(_) => break,
@@ -351,6 +351,20 @@
 /// Longest time without an answer after which a request is hedged.
 const MAX_HEDGE_DELAY: Duration = Duration::from_secs(1);
 
+/// Takes room for an attempt; the first attempt of a request may wait a short time for it.
+async fn lease_or_wait(session: &mut RouteSession) -> Result<RouteLease, RequestRefusal> {
+    loop {
+        let refusal = match session.next_lease(Instant::now()) {
+            Ok(lease) => return Ok(lease),
+            Err(refusal) => refusal,
+        };
+        let Some(pause) = session.pause_for_room(Instant::now()) else {
+            return Err(refusal);
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
 /// Takes room for a second attempt, where the budget for hedges and a backend server allow it.
 fn hedge_lease(session: &mut RouteSession) -> Option<RouteLease> {
     let now = Instant::now();
--- a/crates/forward/src/routes.rs
+++ b/crates/forward/src/routes.rs
@@ -1,7 +1,7 @@
 //! Which backend server takes the next attempt of a request.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::fixed::{FixedRoutes, FixedSession};
 use crate::lease::RouteLease;
@@ -69,6 +69,15 @@
         }
     }
 
+    /// Returns how long to pause before a refused request asks again, or nothing where it is given
+    /// up.
+    pub fn pause_for_room(&mut self, now: Instant) -> Option<Duration> {
+        match self {
+            Self::Fixed(_) => None,
+            Self::Steered(session) => session.pause_for_room(now),
+        }
+    }
+
     /// Takes one more attempt out of the budget for retries, if it is there.
     pub fn take_retry(&mut self) -> bool {
         match self {
--- a/crates/forward/src/steered.rs
+++ b/crates/forward/src/steered.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
-use guard::{ClassShedder, HedgeBudget, RequestClass, RetryBudget};
+use guard::{
+    ClassShedder, HedgeBudget, RequestClass, RequestDeadline, RetryBudget, RoomWait, WaitingRoom,
+};
 use http::StatusCode;
 use model::ids;
 use model::outcome::RefusalReason;
@@ -22,6 +24,8 @@
 
 /// Time after which to come back to a host that may not serve.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+/// Pause of a request that waits for room at a backend server.
+const SLOT_PAUSE: Duration = Duration::from_millis(10);
 /// Time after which to come back where no backend server has room.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(500);
 
@@ -46,6 +50,7 @@
 pub struct SteeredRoutes {
     registry: Arc<BackendRegistry>,
     force: ArcSwap<ForceRoutes>,
+    room: Arc<WaitingRoom>,
     mode: AtomicU8,
 }
 
@@ -82,6 +87,7 @@
         Self {
             registry,
             force: ArcSwap::default(),
+            room: Arc::default(),
             mode: AtomicU8::new(ServeMode::Starting as u8),
         }
     }
@@ -145,6 +151,9 @@
         Ok(SteeredSession {
             class: RequestClass::of(guard.class, query.idempotent),
             registry: self.registry.clone(),
+            room: self.room.clone(),
+            wait: None,
+            room_after: None,
             force,
             guard,
             query,
@@ -159,6 +168,11 @@
 #[derive(Debug)]
 pub struct SteeredSession {
     registry: Arc<BackendRegistry>,
+    room: Arc<WaitingRoom>,
+    /// The request's wait for room, once it has begun.
+    wait: Option<RoomWait>,
+    /// Time after which the last refusal may have become room.
+    room_after: Option<Duration>,
     force: Arc<ForceRoutes>,
     guard: Arc<ServiceGuard>,
     query: RouteQuery,
@@ -185,10 +199,14 @@
     ///
     /// Refuses where caps, headroom, links or limits leave no room.
     pub fn next_lease(&mut self, now: Instant) -> Result<RouteLease, RequestRefusal> {
+        self.room_after = None;
         let mut permit = self.first_permit(now)?;
         loop {
             match self.backend(now, permit) {
-                Ok(lease) => return Ok(lease),
+                Ok(lease) => {
+                    self.wait = None;
+                    return Ok(lease);
+                }
                 Err(refusal) if self.last.is_none() => self.last = Some(refusal),
                 Err(refusal) if refusal.reason != RefusalReason::NoBackend => {
                     self.last = Some(refusal);
@@ -199,6 +217,24 @@
         }
     }
 
+    /// Returns how long to pause before a request that was refused for want of room asks again, or
+    /// nothing where it is given up.
+    ///
+    /// Caps hold in every window of 100 ms, so that the next window may have room for what came
+    /// by chance in this one.
+    pub fn pause_for_room(&mut self, now: Instant) -> Option<Duration> {
+        let room_after = self.room_after.filter(|_| self.tried.is_empty())?;
+        if self.wait.is_none() {
+            let left = self.query.due.saturating_duration_since(now);
+            let deadline = RequestDeadline::after(now, left);
+            self.wait = self.room.enter(now, self.class, deadline);
+        }
+        let pause = self.wait.as_ref()?.pause(now, room_after)?;
+        self.plan = PlanStep::First;
+        self.last = None;
+        Some(pause)
+    }
+
     /// Takes one more attempt out of the budget for retries, if it is there.
     pub fn take_retry(&mut self) -> bool {
         self.guard.retries.try_withdraw()
@@ -228,7 +264,10 @@
                 self.plan = PlanStep::Going(Box::new(plan), permit.zone().clone());
                 Ok(permit)
             }
-            RouteDecision::Refuse(refusal) => Err(self.refuse(&refusal)),
+            RouteDecision::Refuse(refusal) => {
+                self.room_after = Some(refusal.retry_after);
+                Err(self.refuse(&refusal))
+            }
         }
     }
 
@@ -241,6 +280,9 @@
             return Ok(permit);
         }
         let refusal = plan.refusal();
+        if self.last.is_none() {
+            self.room_after = Some(refusal.retry_after);
+        }
         Err(self.last.take().unwrap_or_else(|| self.refuse(&refusal)))
     }
 
@@ -264,6 +306,7 @@
         let picked = registry::pick_backend(now, &candidates, self.query.seed, &self.tried);
         let Some((entry, slot)) = picked else {
             permit.give_back(now);
+            self.room_after = Some(SLOT_PAUSE);
             return Err(self.no_room(RefusalReason::Overloaded, NO_ROOM_RETRY, full));
         };
         if self.is_late_at(now, &entry) {
