feat(control): grant cap shares in whole units

Cause: a host uses its share in windows of 100 ms, so the fraction of a request that a share leaves in each window is lost; the sum of such losses over eight hosts was a large part of small caps. Change: the leased half of a cap is divided by demand in units of 10 requests a second, those left over to the largest fractions; where there are fewer units than hosts, as before.

--- a/crates/control/src/shares.rs
+++ b/crates/control/src/shares.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use model::ids;
+use model::spec;
 use model::state::{self, ForceState};
 use serde::Serialize;
 
@@ -166,17 +167,16 @@
 
 /// Grants a host its part of what is granted of a place, as far as the others leave it free.
 fn grant(now: Instant, hosts: &mut HostShares, host: &str, granted: f64) -> f64 {
-    let total: f64 = hosts.values().map(|share| share.demand).sum();
     let others: f64 = hosts
         .iter()
         .filter(|(name, _)| *name != host)
         .map(|(_, share)| share.most(now))
         .sum();
-    let Some(share) = hosts.get_mut(host).filter(|share| share.demand > 0.0) else {
+    let free = (granted - others).max(0.0);
+    let rate = allot(hosts, host, granted).min(free);
+    let Some(share) = hosts.get_mut(host) else {
         return 0.0;
     };
-    let free = (granted - others).max(0.0);
-    let rate = (granted * share.demand / total).min(free);
     if rate > 0.0 {
         let until = now + ShareTable::TTL;
         share.grants.push(ShareGrant { rate, until });
@@ -184,6 +184,34 @@
     rate
 }
 
+/// Returns a host's part of a rate by demand, in whole units where there is one for each host that
+/// wants any: a host can't use a fraction of a request in a window.
+///
+/// Units that the division leaves over go to the hosts with the largest fractions.
+fn allot(hosts: &HostShares, host: &str, granted: f64) -> f64 {
+    let wanting: Vec<_> = hosts
+        .iter()
+        .filter(|(_, share)| share.demand > 0.0)
+        .collect();
+    let total: f64 = wanting.iter().map(|(_, share)| share.demand).sum();
+    let Some(own) = wanting.iter().position(|(name, _)| *name == host) else {
+        return 0.0;
+    };
+    let units = (granted / spec::SHARE_UNIT).floor();
+    if units < wanting.len() as f64 {
+        return granted * wanting[own].1.demand / total;
+    }
+    let exact = |place: usize| units * wanting[place].1.demand / total;
+    let whole: f64 = (0..wanting.len()).map(|place| exact(place).floor()).sum();
+    let fraction = exact(own).fract();
+    let before = (0..wanting.len()).filter(|place| {
+        let other = exact(*place).fract();
+        other > fraction || (other == fraction && *place < own)
+    });
+    let extra = (before.count() as f64) < units - whole;
+    (exact(own).floor() + f64::from(u8::from(extra))) * spec::SHARE_UNIT
+}
+
 /// Bounds what a host reports to a sensible number.
 fn believable(demand: f64) -> f64 {
     if demand.is_finite() {
--- a/crates/model/src/spec.rs
+++ b/crates/model/src/spec.rs
@@ -109,6 +109,10 @@
     pub leaving: BTreeSet<SocketAddr>,
 }
 
+/// Requests a second that make one request in each window of 100 ms, in which caps hold; shares of
+/// a cap come in whole multiples of it.
+pub const SHARE_UNIT: f64 = 10.0;
+
 /// A place: one service in one availability zone.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PlaceSpec {
--- a/crates/steer/src/share.rs
+++ b/crates/steer/src/share.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use model::spec::SHARE_UNIT;
+
 /// Part of a cap that is divided equally over the entry hosts in force; the rest is leased.
 pub const FLOOR_PART: f64 = 0.5;
 
@@ -12,10 +14,6 @@
 /// had it before and of this one.
 pub const LEASE_WAIT: Duration = Duration::from_millis(100);
 
-/// Requests a second that make one request in each window of
-/// [`WindowLimit::WINDOW`](guard::WindowLimit::WINDOW); shares come in whole multiples of it.
-pub const SHARE_UNIT: f64 = 10.0;
-
 /// Seat of an entry host among those in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HostSeat {
