fix(feed): give a watcher only stamps that come after it did

Cause: a host that started was confirmed by the latest stamp that its source held, which may be older than a ticket accepted since; one of ten runs of restarted_host_serves_what_is_in_force_or_nothing found it ready at revision 301 while 302 was in force elsewhere. A source that is cut off could confirm old state for as long as its cut lasts. Ruled out: the order of changes and beats in the stream; a second stamp as the condition, which only makes the window shorter.

--- a/crates/feed/src/service.rs
+++ b/crates/feed/src/service.rs
@@ -65,7 +65,9 @@
             holder: Arc::clone(&self.holder),
             versions: self.holder.subscribe(),
             revision: self.first_revision(request.revision, request.digest),
-            stamp: None,
+            // The latest stamp may be old where this process is cut off, so a watcher gets only
+            // those that come from now on.
+            stamp: self.holder.view().stamp(),
             pending: Vec::new(),
             _slot: slot,
         };
