--- a/crates/feed/src/plan.rs
+++ b/crates/feed/src/plan.rs
@@ -53,7 +53,8 @@
         if hosts.len() > Self::MAX_DIRECT {
             sources.extend(parents(&near, rank));
         }
-        let turn = rank.unwrap_or(0) + self.host.len();
+        // Hosts of the same rank in different zones begin with different replicas.
+        let turn = self.host.bytes().map(usize::from).sum();
         sources.extend(rotated(&self.controls, turn));
         let others = hosts.iter().filter(|(name, _)| *name != self.host);
         sources.extend(others.map(|(_, spec)| spec.peers));
