refactor(settings,steer): one start for daemons, one file a deployment of the scenarios

Cause: control and entry read help, version and faults each in their own main; the scenarios of crates/steer held the same first ticket up to nine times. Change: settings::program takes the settings of a process; scenarios name their deployment's file.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -5,36 +5,20 @@
 use control::daemon;
 use control::error::ControlError;
 use control::settings::{ControlSettings, RawSettings, HELP};
-use settings::reader::SettingReader;
-
-/// Exit code where a setting is wrong.
-const EXIT_SETTINGS: u8 = 2;
+use settings::program;
 
 fn main() -> ExitCode {
-    let mut reader = SettingReader::from_process();
-    if reader.flag("help") {
-        println!("{HELP}");
-        return ExitCode::SUCCESS;
-    }
-    if reader.flag("version") {
-        println!("{} {}", HELP.program, env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let settings = match ControlSettings::try_from(RawSettings::read(reader)) {
-        Ok(settings) => settings,
-        Err(faults) => {
-            for fault in faults {
-                eprintln!("{}: {fault}", HELP.program);
-            }
-            return ExitCode::from(EXIT_SETTINGS);
-        }
-    };
-    match start(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
+    let version = env!("CARGO_PKG_VERSION");
+    let settings = program::take_settings(&HELP, version, |reader| {
+        ControlSettings::try_from(RawSettings::read(reader))
+    });
+    match settings.map(start) {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(e)) => {
             eprintln!("{}: {e}", HELP.program);
             ExitCode::FAILURE
         }
+        Err(code) => code,
     }
 }
 
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -82,10 +82,6 @@
 impl RawSettings {
     /// Takes the settings from flags and environment variables.
     pub fn read(mut reader: SettingReader) -> Self {
-        let level = |text: &str| {
-            text.parse()
-                .map_err(|_| "off, error, warn, info, debug or trace")
-        };
         let mut raw = Self {
             id: reader.required("id", SettingReader::count),
             replicas: reader.list("replicas", SettingReader::numbered_address),
@@ -94,7 +90,7 @@
             data_folder: reader.required("data-folder", SettingReader::path),
             token: secret::read_token(&mut reader),
             log: LogSettings {
-                level: reader.or("log-level", level, LevelFilter::Info),
+                level: reader.or("log-level", SettingReader::log_level, LevelFilter::Info),
                 json: reader.flag("log-json"),
             },
             verdict_window: reader.or("verdict-window", SettingReader::count, 10_000),
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -8,40 +8,22 @@
 use entry::context::EntryContext;
 use entry::host::EntryHost;
 use entry::settings::{EntrySettings, HELP};
-use settings::reader::SettingReader;
+use settings::program;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use telemetry::metrics::MetricRegistry;
 
-/// Exit code of bad settings.
-const EXIT_USAGE: u8 = 2;
-
 fn main() -> ExitCode {
-    let mut reader = SettingReader::from_process();
-    if reader.flag("help") {
-        println!("{HELP}");
-        return ExitCode::SUCCESS;
-    }
-    if reader.flag("version") {
-        println!("wisteria-entry {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let settings = match EntrySettings::try_from(reader) {
-        Ok(settings) => settings,
-        Err(faults) => {
-            for fault in faults {
-                eprintln!("wisteria-entry: {fault}");
-            }
-            return ExitCode::from(EXIT_USAGE);
-        }
-    };
-    match run(settings) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(e) => {
-            eprintln!("wisteria-entry: {e}");
+    let version = env!("CARGO_PKG_VERSION");
+    let settings = program::take_settings(&HELP, version, EntrySettings::try_from);
+    match settings.map(run) {
+        Ok(Ok(true)) => ExitCode::SUCCESS,
+        Ok(Ok(false)) => ExitCode::FAILURE,
+        Ok(Err(e)) => {
+            eprintln!("{}: {e}", HELP.program);
             ExitCode::FAILURE
         }
+        Err(code) => code,
     }
 }
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -52,7 +52,7 @@
         help(
             "log-level",
             "LEVEL",
-            "error, warn, info, debug or trace [info]",
+            "off, error, warn, info, debug or trace [info]",
         ),
         help("log-json", "", "one JSON object a line"),
     ],
@@ -112,7 +112,7 @@
             Duration::from_secs(60),
         );
         let logs = LogSettings {
-            level: reader.or("log-level", log_level, LevelFilter::Info),
+            level: reader.or("log-level", SettingReader::log_level, LevelFilter::Info),
             json: reader.flag("log-json"),
         };
         reader.finish()?;
@@ -135,8 +135,3 @@
         })
     }
 }
-
-fn log_level(text: &str) -> Result<LevelFilter, &'static str> {
-    text.parse()
-        .map_err(|_| "error, warn, info, debug or trace")
-}
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -39,7 +39,7 @@
         --controls or WISTERIA_CONTROLS: "" is not allowed: at least one address
         --token-file or WISTERIA_TOKEN_FILE: "(not shown)" is not allowed: at least 16 printable characters without spaces, in WISTERIA_TOKEN or in the file of --token-file
         --stop-bound or WISTERIA_STOP_BOUND: "soon" is not allowed: a time above 0 with its unit, such as 500ms or 2s
-        --log-level or WISTERIA_LOG_LEVEL: "loud" is not allowed: error, warn, info, debug or trace
+        --log-level or WISTERIA_LOG_LEVEL: "loud" is not allowed: off, error, warn, info, debug or trace
         argument: "--verbose" is not allowed: the flags that --help lists"#]]
     .assert_eq(&read(args, false).unwrap_err());
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,5 +5,6 @@
 //! one start shows all of them.
 
 pub mod list;
+pub mod program;
 pub mod reader;
 pub mod secret;
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use log::LevelFilter;
 use model::fault::InputFault;
 use model::ids;
 
@@ -174,6 +175,12 @@
         }
     }
 
+    /// Parses a log level.
+    pub fn log_level(text: &str) -> Result<LevelFilter, &'static str> {
+        text.parse()
+            .map_err(|_| "off, error, warn, info, debug or trace")
+    }
+
     /// Parses a whole number from 1.
     pub fn count(text: &str) -> Result<u64, &'static str> {
         match text.parse() {
--- a/crates/steer/tests/scenarios.rs
+++ b/crates/steer/tests/scenarios.rs
@@ -33,11 +33,16 @@
     let faults = case.try_take_args("without").unwrap().unwrap_or_default();
     let skew = case.try_take_arg("skew-ms").unwrap().unwrap_or(2000);
     let waits = case.take_flag("waits").unwrap();
+    let deployment: Option<String> = case.try_take_arg("deployment").unwrap();
     let mut words: Vec<String> = case.args.drain().map(|(word, _)| word).collect();
     words.sort();
     if case.directive == "given" {
+        let ticket = match deployment {
+            Some(name) => std::fs::read_to_string(format!("tests/scenarios/{name}.toml")).unwrap(),
+            None => case.input.clone(),
+        };
         let faults = faults.iter().map(|name: &String| fault(name)).collect();
-        let mut new = Fleet::new(&case.input, seed, faults);
+        let mut new = Fleet::new(&ticket, seed, faults);
         new.waits = waits;
         let text = format!("{} entry hosts\n", new.host_count());
         *fleet = Some(new);
