--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,10 +1,12 @@
 //! Exchange of announcements and standing with the other entry hosts.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::task::{self, JoinHandle};
 use futures_util::future::{self, Either};
 use model::ids;
 use model::state;
@@ -58,32 +60,50 @@
 ///
 /// Each host has a task of its own, so that one that went silent holds up no other.
 pub async fn run(context: Arc<EntryContext>) {
-    let mut running = std::collections::HashMap::new();
+    let mut tasks = ExchangeTasks::default();
     loop {
         let view = context.holder.view();
         context.peers().retain(&view.state);
-        let wanted: std::collections::HashMap<ids::HostName, SocketAddr> =
-            state::live(&view.state.hosts)
-                .filter(|(name, _)| *name != context.settings.name)
-                .map(|(name, spec)| (name.to_string(), spec.peers))
-                .collect();
-        let gone = |name: &ids::HostName, address: &SocketAddr| wanted.get(name) != Some(address);
-        let ended: Vec<_> = running
-            .iter()
-            .filter(|(name, (address, _))| gone(name, address))
-            .map(|(name, _): (&ids::HostName, &(SocketAddr, _))| name.clone())
+        let wanted: HashMap<ids::HostName, SocketAddr> = state::live(&view.state.hosts)
+            .filter(|(name, _)| *name != context.settings.name)
+            .map(|(name, spec)| (name.to_string(), spec.peers))
             .collect();
+        tasks.end_unwanted(&wanted).await;
+        tasks.start_missing(&context, wanted);
+        context.clock.sleep(EXCHANGE_INTERVAL).await;
+    }
+}
+
+/// The running exchanges, by host.
+#[derive(Debug, Default)]
+struct ExchangeTasks {
+    running: HashMap<ids::HostName, (SocketAddr, JoinHandle<()>)>,
+}
+
+impl ExchangeTasks {
+    /// Ends the exchanges with hosts that left or moved.
+    async fn end_unwanted(&mut self, wanted: &HashMap<ids::HostName, SocketAddr>) {
+        let is_unwanted = |(name, (address, _)): (&ids::HostName, &(SocketAddr, _))| {
+            (wanted.get(name) != Some(address)).then(|| name.clone())
+        };
+        let ended: Vec<_> = self.running.iter().filter_map(is_unwanted).collect();
         for name in ended {
-            if let Some((_, task)) = running.remove(&name) {
-                let task: async_std::task::JoinHandle<()> = task;
+            if let Some((_, task)) = self.running.remove(&name) {
                 task.cancel().await;
             }
         }
+    }
+
+    fn start_missing(
+        &mut self,
+        context: &Arc<EntryContext>,
+        wanted: HashMap<ids::HostName, SocketAddr>,
+    ) {
         for (name, address) in wanted {
-            let start = || async_std::task::spawn(exchange_with(Arc::clone(&context), address));
-            running.entry(name).or_insert_with(|| (address, start()));
+            let start = || task::spawn(exchange_with(Arc::clone(context), address));
+            let running = self.running.entry(name);
+            running.or_insert_with(|| (address, start()));
         }
-        context.clock.sleep(EXCHANGE_INTERVAL).await;
     }
 }
 
