fix(entry): a host is ready only once its look-ups are

Cause: a host said ready while its look-ups still left it out: one step of the steering asked for the standing twice, and between the two the host opened; /ready asked neither. Ruled out: peers not heard yet; the host's own name was the one left out. Change: one standing a step, and /ready waits for the step. The test of calls between processes waits until the host has the records of keys, since it is told 'unavailable' before.

--- a/crates/entry/src/answers.rs
+++ b/crates/entry/src/answers.rs
@@ -164,7 +164,7 @@
     let context = request.state();
     let standing = context.standing();
     let revision: ids::Revision = context.holder.view().state.revision;
-    let status = match standing.is_open() {
+    let status = match standing.is_open() && context.steering.is_open() {
         true => StatusCode::Ok,
         false => StatusCode::ServiceUnavailable,
     };
--- a/crates/entry/src/steering.rs
+++ b/crates/entry/src/steering.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::IpAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,7 @@
 pub struct HostSteering {
     routes: Arc<SteeredRoutes>,
     lookups: ArcSwap<LookupTable>,
+    open: AtomicBool,
 }
 
 impl HostSteering {
@@ -35,6 +37,7 @@
         Self {
             routes: Arc::new(SteeredRoutes::new(registry)),
             lookups: ArcSwap::from_pointee(empty),
+            open: AtomicBool::new(false),
         }
     }
 
@@ -43,6 +46,12 @@
         &self.routes
     }
 
+    /// Tells whether requests and look-ups are answered from what is in force, and callers may be
+    /// sent here.
+    pub fn is_open(&self) -> bool {
+        self.open.load(Ordering::Acquire)
+    }
+
     /// Returns the routing table in force.
     pub fn table(&self) -> Arc<RouteTable> {
         self.routes.table()
@@ -117,7 +126,8 @@
     fn step(&mut self, context: &EntryContext) {
         let now = context.now();
         let state = Arc::clone(&context.holder.view().state);
-        let closed = closed_hosts(context, now, &state);
+        let standing = context.standing();
+        let closed = closed_hosts(context, now, &state, standing);
         context.registry.tick(now);
         let known = self.state.as_ref();
         let is_new = !known.is_some_and(|known| Arc::ptr_eq(known, &state));
@@ -127,8 +137,7 @@
             context.keepers.set_state(now, &state);
             context.steering.set_state(now, own, &state);
         }
-        let mode = serve_mode(context.standing());
-        context.steering.routes.set_mode(mode);
+        context.steering.routes.set_mode(serve_mode(standing));
         let lookups = &context.steering.lookups;
         if is_new {
             lookups.store(Arc::new(LookupTable::new(&state, &closed)));
@@ -136,6 +145,10 @@
             let next = lookups.load().with_hosts(&state, &closed);
             lookups.store(Arc::new(next));
         }
+        context
+            .steering
+            .open
+            .store(standing.is_open(), Ordering::Release);
         self.state = Some(state);
         self.closed = closed;
     }
@@ -146,9 +159,10 @@
     context: &EntryContext,
     now: Instant,
     state: &ForceState,
+    standing: HostStanding,
 ) -> BTreeSet<ids::HostName> {
     let mut closed = context.peers().closed(now, state);
-    if !context.standing().is_open() {
+    if !standing.is_open() {
         closed.insert(context.settings.name.clone());
     }
     closed
--- a/crates/entry/tests/host_interface.rs
+++ b/crates/entry/tests/host_interface.rs
@@ -9,6 +9,7 @@
 use http::Method;
 use proof::cluster::{ProofCluster, TOKEN};
 use proof::http::{HttpAnswer, HttpCall};
+use proof::wait::wait_until;
 use tonic::{Code, Status};
 use wire::dial;
 use wire::token::AccessToken;
@@ -16,12 +17,24 @@
 use wire::v1::feed_client::FeedClient;
 use wire::v1::peer_client::PeerClient;
 
+/// Bound on the start of a host.
+const BOUND: Duration = Duration::from_secs(10);
+
 fn cluster() -> ProofCluster {
     let cluster = ProofCluster::plan().entry_hosts(2).start().unwrap();
     cluster.set_up().unwrap();
+    for host in &cluster.hosts {
+        wait_until("whole records of keys", BOUND, || knows_keys(host.callers)).unwrap();
+    }
     cluster
 }
 
+fn knows_keys(host: SocketAddr) -> bool {
+    let dump = HttpCall::get(host, "/v1/dump").bearer(TOKEN).send();
+    let dump = dump.and_then(|answer| answer.json());
+    dump.is_ok_and(|dump| dump["keys"]["recovering"] == false)
+}
+
 fn announcement(field: &str, value: serde_json::Value) -> String {
     let mut body = serde_json::json!({
         "service": "ascent-lookup", "address": "127.0.0.1:9", "zone": "altiplano-a",
@@ -132,7 +145,13 @@
             400,
             "\"field\":\"body\"",
         ),
-        (Method::POST, "/v1/announcements", &long, 413, "at most 4096 bytes"),
+        (
+            Method::POST,
+            "/v1/announcements",
+            &long,
+            413,
+            "at most 4096 bytes",
+        ),
         (Method::GET, "/v1/dump", "", 401, "token"),
         (Method::GET, "/health", "", 200, "true"),
         (Method::GET, "/ready", "", 200, "serving"),
