--- /dev/null
+++ b/crates/balance/src/balancer.rs
@@ -0,0 +1,529 @@
+//! The choice of a backend server, or a refusal.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use fleet::change::{FleetChange, FleetView};
+use fleet::ids;
+use fleet::server::ServerRecord;
+use fleet::site::ServiceSpec;
+use slotmap::SlotMap;
+use xxhash_rust::xxh3;
+
+use crate::budget::AttemptBudget;
+use crate::server::{AttemptEnd, ReportedLoad, TrackedServer};
+use crate::settings::BalanceSettings;
+use crate::spill::RegionSpill;
+
+slotmap::new_key_type! {
+    /// One life of a backend server.
+    pub struct ServerKey;
+}
+
+/// Time of one request, until some were seen; that of a short read.
+const FIRST_WORK: Duration = Duration::from_millis(100);
+
+/// Weight of the latest request in a service's time of work.
+const WORK_WEIGHT: f64 = 0.05;
+
+/// Time to a backend server in the same region, there and back.
+const NEAR_ROUND: Duration = Duration::from_millis(3);
+
+/// Time to a backend server in another region, there and back.
+const FAR_ROUND: Duration = Duration::from_millis(40);
+
+/// What leaving the zone counts, as time: bytes between zones are dear.
+const ZONE_PENALTY: Duration = Duration::from_millis(12);
+
+/// Part of a request's time that a warm object saves.
+const WARM_GAIN: f64 = 0.6;
+
+/// Load below which a backend server has room, as a part of its slots.
+const ROOM_LOAD: f64 = 0.85;
+
+/// Share of the rate that a cold backend server bears which this host uses, so that two hosts
+/// that both take themselves for its owner stay below its bound.
+const COLD_RATE_USED: f64 = 0.7;
+
+/// Requests that a cold backend server may get at once.
+const COLD_BURST: f64 = 2.0;
+
+/// Shortest time after which a refused caller is told to come back.
+const MIN_COME_BACK: Duration = Duration::from_millis(60);
+
+/// What is known of a request when its backend server is chosen.
+#[derive(Debug, Clone)]
+pub struct ServerQuery<'a> {
+    /// Service that it goes to.
+    pub service: &'a str,
+    /// Digest of the object that it is about, where the route is sticky.
+    pub object: Option<u64>,
+    /// Time until it must be answered.
+    pub left: Duration,
+    /// Time within which its answer is wanted, counted from now.
+    pub wanted: Duration,
+    /// Regions that may serve it; none where any may.
+    pub homes: &'a [ids::RegionName],
+    /// Backend servers that it was sent to before.
+    pub tried: &'a [ServerKey],
+}
+
+/// A backend server that was chosen; the request counts towards its load until its end is told.
+#[derive(Debug, Clone)]
+pub struct ChosenServer {
+    /// Recognises it.
+    pub key: ServerKey,
+    /// What it announced.
+    pub record: ServerRecord,
+    /// Load that it was taken to have.
+    pub load: f64,
+    /// Time that the request was taken to need.
+    pub expected: Duration,
+}
+
+/// Why there is no backend server for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RefusalCause {
+    /// The service has no backend server that may be used.
+    NoServer,
+    /// All that may be used have more than they can answer in time.
+    Full,
+}
+
+/// A refusal before anything was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadRefusal {
+    /// Why.
+    pub cause: RefusalCause,
+    /// When room is expected.
+    pub come_back: Duration,
+}
+
+#[derive(Debug)]
+struct ServiceGroup {
+    servers: Vec<ServerKey>,
+    spill: RegionSpill,
+    budget: AttemptBudget,
+    /// Seconds of one request at a backend server with room.
+    work: f64,
+}
+
+impl ServiceGroup {
+    fn new(now: Instant) -> Self {
+        Self {
+            servers: Vec::new(),
+            spill: RegionSpill::new(now),
+            budget: AttemptBudget::new(),
+            work: FIRST_WORK.as_secs_f64(),
+        }
+    }
+}
+
+/// Chooses backend servers.
+#[derive(Debug)]
+pub struct LoadBalancer {
+    settings: BalanceSettings,
+    region: ids::RegionName,
+    servers: SlotMap<ServerKey, TrackedServer>,
+    keys: HashMap<ids::ServerId, ServerKey>,
+    groups: HashMap<ids::ServiceName, ServiceGroup>,
+    specs: HashMap<ids::ServiceName, ServiceSpec>,
+    evacuated: Vec<ids::ZoneName>,
+    /// Entry hosts that are ready, with their zones.
+    hosts: Vec<(String, ids::ZoneName)>,
+}
+
+/// How much a candidate is liked; less is better.
+#[derive(Debug, Clone, Copy)]
+struct ServerCost {
+    key: ServerKey,
+    /// Seconds, preferences included.
+    cost: f64,
+    /// Seconds until the answer.
+    expected: f64,
+    local: bool,
+    room: bool,
+    cold: bool,
+}
+
+impl LoadBalancer {
+    /// Creates a balancer that knows nothing yet.
+    pub fn new(settings: BalanceSettings) -> Self {
+        Self {
+            region: settings.region(&settings.zone).to_string(),
+            settings,
+            servers: SlotMap::with_key(),
+            keys: HashMap::new(),
+            groups: HashMap::new(),
+            specs: HashMap::new(),
+            evacuated: Vec::new(),
+            hosts: Vec::new(),
+        }
+    }
+
+    /// Puts a whole view in place; what is known of backend servers that stay is kept.
+    pub fn set_view(&mut self, now: Instant, view: &FleetView) {
+        self.set_specs(&view.site.services);
+        self.evacuated = view.evacuated.iter().cloned().collect();
+        let gone: Vec<_> = self
+            .keys
+            .keys()
+            .filter(|id| !view.servers.contains_key(*id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.remove_server(&id);
+        }
+        for record in view.servers.values() {
+            self.set_server(now, record.clone());
+        }
+        self.mark_evacuated(now, &[]);
+    }
+
+    /// Applies a change.
+    pub fn apply(&mut self, now: Instant, change: &FleetChange) {
+        match change {
+            FleetChange::Site { site, .. } => self.set_specs(&site.services),
+            FleetChange::Server(record) => {
+                let cold = record.cold;
+                self.set_server(now, record.clone());
+                self.set_cold(now, &record.id, cold);
+            }
+            FleetChange::ServerGone(id) => self.remove_server(id),
+            FleetChange::Evacuated(zone) => {
+                self.evacuated.push(zone.clone());
+                self.mark_evacuated(now, &[]);
+            }
+            FleetChange::Readmitted(zone) => {
+                self.evacuated.retain(|other| other != zone);
+                self.mark_evacuated(now, std::slice::from_ref(zone));
+            }
+        }
+    }
+
+    /// Notes that a backend server is cold for some time.
+    pub fn set_cold(&mut self, now: Instant, id: &str, period: Duration) {
+        if let Some(server) = self.keys.get(id).and_then(|key| self.servers.get_mut(*key)) {
+            server.set_cold(now, period);
+        }
+    }
+
+    /// Notes which entry hosts are ready.
+    pub fn set_hosts(&mut self, hosts: Vec<(String, ids::ZoneName)>) {
+        self.hosts = hosts;
+        let keys: Vec<_> = self.servers.keys().collect();
+        for key in keys {
+            self.set_owner(key);
+        }
+    }
+
+    /// Returns the number of ready entry hosts that are known, this one included.
+    pub fn hosts(&self) -> usize {
+        self.hosts.len().max(1)
+    }
+
+    /// Returns the backend servers that are known.
+    pub fn servers(&self) -> impl Iterator<Item = &TrackedServer> {
+        self.servers.values()
+    }
+
+    /// Counts a request of a client to a service.
+    pub fn note_request(&mut self, now: Instant, service: &str) {
+        let hosts = self.hosts();
+        let (ratio, slack) = (self.settings.retry_ratio, self.settings.retry_slack);
+        self.group(now, service).budget.deposit(ratio, slack, hosts);
+    }
+
+    /// Takes a second attempt out of the budget of a service, where it holds one.
+    pub fn try_retry(&mut self, now: Instant, service: &str) -> bool {
+        self.group(now, service).budget.try_withdraw()
+    }
+
+    /// Returns the time that a request to a service usually needs.
+    pub fn usual_time(&self, service: &str) -> Duration {
+        let work = self.groups.get(service).map(|group| group.work);
+        work.map_or(FIRST_WORK, Duration::from_secs_f64)
+    }
+
+    /// Chooses a backend server; the request counts towards its load from then on.
+    ///
+    /// # Errors
+    ///
+    /// Refuses where none may be used, or where none could answer in time.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        query: &ServerQuery<'_>,
+    ) -> Result<ChosenServer, LoadRefusal> {
+        let costs = self.costs(now, query);
+        let Some(best) = self.best(now, query, &costs) else {
+            return Err(self.refusal(query, &costs));
+        };
+        if best.cold && !self.take_cold(now, best.key) {
+            return Err(self.refusal(query, &costs));
+        }
+        let server = &mut self.servers[best.key];
+        let load = server.load(now);
+        server.begin(query.object);
+        Ok(ChosenServer {
+            key: best.key,
+            record: server.record.clone(),
+            load,
+            expected: Duration::from_secs_f64(best.expected),
+        })
+    }
+
+    /// Tells how a request ended at the backend server that was chosen for it.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        key: ServerKey,
+        end: AttemptEnd,
+        took: Duration,
+        load: Option<ReportedLoad>,
+    ) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        server.end(now, end, load);
+        let far = server.region != self.region;
+        let round = if far { FAR_ROUND } else { NEAR_ROUND };
+        let work = took.saturating_sub(round).as_secs_f64();
+        let Some(group) = self.groups.get_mut(&server.record.service) else {
+            return;
+        };
+        match end {
+            AttemptEnd::Answered => {
+                server.note_pace(now, work / group.work.max(0.001));
+                group.work += (work - group.work) * WORK_WEIGHT;
+            }
+            // One that was given up took longer than this, if it took longer than usual.
+            AttemptEnd::Dropped | AttemptEnd::Late if work > group.work => {
+                server.note_pace(now, work / group.work.max(0.001));
+            }
+            _ => {}
+        }
+    }
+
+    fn group(&mut self, now: Instant, service: &str) -> &mut ServiceGroup {
+        let group = self.groups.entry(service.to_string());
+        group.or_insert_with(|| ServiceGroup::new(now))
+    }
+
+    fn set_specs(&mut self, specs: &[ServiceSpec]) {
+        let specs = specs.iter().map(|spec| (spec.name.clone(), spec.clone()));
+        self.specs = specs.collect();
+    }
+
+    fn set_server(&mut self, now: Instant, record: ServerRecord) {
+        let known = self.keys.get(&record.id).copied();
+        if let Some(server) = known.and_then(|key| self.servers.get_mut(key)) {
+            let same_life = server.record.born == record.born
+                && server.record.address == record.address
+                && server.record.service == record.service;
+            if same_life {
+                server.record = record;
+                return;
+            }
+        }
+        self.remove_server(&record.id);
+        let (id, service) = (record.id.clone(), record.service.clone());
+        let region = self.settings.region(&record.zone).to_string();
+        let mut server = TrackedServer::new(record, region);
+        server.evacuated = self.evacuated.contains(&server.record.zone);
+        let key = self.servers.insert(server);
+        self.keys.insert(id, key);
+        self.group(now, &service).servers.push(key);
+        self.set_owner(key);
+    }
+
+    fn remove_server(&mut self, id: &str) {
+        let Some(key) = self.keys.remove(id) else {
+            return;
+        };
+        let Some(server) = self.servers.remove(key) else {
+            return;
+        };
+        if let Some(group) = self.groups.get_mut(&server.record.service) {
+            group.servers.retain(|other| *other != key);
+        }
+    }
+
+    /// Marks the backend servers of evacuated zones; those of a zone that just got work again
+    /// count as cold.
+    fn mark_evacuated(&mut self, now: Instant, readmitted: &[ids::ZoneName]) {
+        for server in self.servers.values_mut() {
+            server.evacuated = self.evacuated.contains(&server.record.zone);
+            if readmitted.contains(&server.record.zone) {
+                let spec = self.specs.get(&server.record.service);
+                server.set_cold(now, spec.map_or(Duration::ZERO, |spec| spec.cold_period));
+            }
+        }
+    }
+
+    /// Notes whether this host is the one that may use a backend server while it is cold: the
+    /// first by hash among those of its zone, else of its region, else of all.
+    fn set_owner(&mut self, key: ServerKey) {
+        let server = &self.servers[key];
+        let same_zone = |zone: &str| zone == server.record.zone;
+        let same_region = |zone: &str| self.settings.region(zone) == server.region;
+        let nearness = |zone: &str| match (same_zone(zone), same_region(zone)) {
+            (true, _) => 0,
+            (false, true) => 1,
+            (false, false) => 2,
+        };
+        let rank = |host: &(String, ids::ZoneName)| {
+            let seed = xxh3::xxh3_64(host.0.as_bytes());
+            let hash = xxh3::xxh3_64_with_seed(server.record.id.as_bytes(), seed);
+            (nearness(&host.1), hash)
+        };
+        let owner = self.hosts.iter().min_by_key(|host| rank(host));
+        let owns = owner.is_some_and(|host| host.0 == self.settings.host);
+        self.servers[key].cold_owner = owns;
+    }
+
+    fn take_cold(&self, now: Instant, key: ServerKey) -> bool {
+        let server = &self.servers[key];
+        let spec = self.specs.get(&server.record.service);
+        let rate = spec.map_or(0.0, |spec| spec.cold_rate) * COLD_RATE_USED;
+        server.try_take_cold(now, rate, COLD_BURST)
+    }
+
+    /// Weighs the backend servers that may be used.
+    fn costs(&self, now: Instant, query: &ServerQuery<'_>) -> Vec<ServerCost> {
+        let Some(group) = self.groups.get(query.service) else {
+            return Vec::new();
+        };
+        let candidates = group.servers.iter().copied().filter(|key| {
+            let server = &self.servers[*key];
+            let home = query.homes.is_empty() || query.homes.contains(&server.region);
+            let trial = !server.is_on_trial() || server.outstanding() == 0;
+            let cold = !server.is_cold(now) || server.cold_owner;
+            home && trial
+                && cold
+                && server.takes_work()
+                && !server.is_ejected(now)
+                && !query.tried.contains(key)
+        });
+        let candidates: Vec<_> = candidates.collect();
+        let owner = query.object.and_then(|object| self.object_owner(object, &candidates));
+        let weigh = |key| self.weigh(now, query, group.work, owner, key);
+        candidates.into_iter().map(weigh).collect()
+    }
+
+    /// Returns the backend server of this region that requests for an object go to, all else
+    /// equal: the first by hash, with those of this host's zone before others.
+    fn object_owner(&self, object: u64, candidates: &[ServerKey]) -> Option<ServerKey> {
+        let local = candidates.iter().filter(|key| self.servers[**key].region == self.region);
+        let near = |key: &ServerKey| self.servers[*key].record.zone == self.settings.zone;
+        local
+            .max_by_key(|key| {
+                let id = self.servers[**key].record.id.as_bytes();
+                (near(key), xxh3::xxh3_64_with_seed(id, object))
+            })
+            .copied()
+    }
+
+    fn weigh(
+        &self,
+        now: Instant,
+        query: &ServerQuery<'_>,
+        work: f64,
+        owner: Option<ServerKey>,
+        key: ServerKey,
+    ) -> ServerCost {
+        let server = &self.servers[key];
+        let local = server.region == self.region;
+        let slots = f64::from(server.record.slots.max(1));
+        let load = server.load(now);
+        let queued = (load + 1.0 - slots).max(0.0);
+        let cold = server.is_cold(now);
+        let round = if local { NEAR_ROUND } else { FAR_ROUND };
+        let work = work * server.pace(now);
+        let expected = work * (1.0 + queued / slots) + round.as_secs_f64();
+        let mut cost = expected + work * 0.2 * load / slots;
+        if server.record.zone != self.settings.zone {
+            cost += ZONE_PENALTY.as_secs_f64();
+        }
+        let strange = query.object.is_some_and(|object| {
+            owner != Some(key) && !server.is_warm(object)
+        });
+        if strange {
+            cost += work * WARM_GAIN;
+        }
+        cost += work * 2.0 * server.failures();
+        ServerCost {
+            key,
+            cost,
+            expected,
+            local,
+            room: load + 1.0 <= slots * ROOM_LOAD || load < 1.0,
+            cold,
+        }
+    }
+
+    /// Returns the best of the weighed backend servers that can answer in time.
+    fn best(
+        &mut self,
+        now: Instant,
+        query: &ServerQuery<'_>,
+        costs: &[ServerCost],
+    ) -> Option<ServerCost> {
+        let limit = self.time_limit(query);
+        let fits = |cost: &&ServerCost| {
+            let free = cost.expected <= limit;
+            free && cost.expected <= query.left.as_secs_f64().max(0.001)
+        };
+        let cheapest = |local: bool| {
+            let fitting = costs.iter().filter(fits).filter(|cost| cost.local == local);
+            fitting.min_by(|a, b| a.cost.total_cmp(&b.cost)).copied()
+        };
+        let (near, far) = (cheapest(true), cheapest(false));
+        let has_local = costs.iter().any(|cost| cost.local);
+        let full = !costs.iter().any(|cost| cost.local && cost.room);
+        let max_shift = self.settings.max_shift;
+        let spill = &mut self.group(now, query.service).spill;
+        if !has_local {
+            spill.set(now, 1.0);
+            return far;
+        }
+        let leaves = spill.decide(now, full, max_shift);
+        match (near, far) {
+            (_, Some(far)) if leaves && far.room => Some(far),
+            (near, _) => near,
+        }
+    }
+
+    /// Returns the longest time, in seconds, that a request may be expected to need: what is
+    /// wanted, but never less than a request needs that finds a free slot.
+    fn time_limit(&self, query: &ServerQuery<'_>) -> f64 {
+        let work = self.usual_time(query.service).as_secs_f64();
+        let alone = work * 1.3 + FAR_ROUND.as_secs_f64();
+        query.wanted.as_secs_f64().max(alone)
+    }
+
+    fn refusal(&self, query: &ServerQuery<'_>, costs: &[ServerCost]) -> LoadRefusal {
+        let soonest = costs.iter().map(|cost| cost.expected).min_by(f64::total_cmp);
+        let Some(soonest) = soonest else {
+            let come_back = self.usual_time(query.service).max(MIN_COME_BACK * 4);
+            return LoadRefusal {
+                cause: RefusalCause::NoServer,
+                come_back,
+            };
+        };
+        let over = (soonest - query.wanted.as_secs_f64()).max(0.0);
+        LoadRefusal {
+            cause: RefusalCause::Full,
+            come_back: Duration::from_secs_f64(over).max(MIN_COME_BACK),
+        }
+    }
+
+    /// Returns the backend servers by zone, for a dump.
+    pub fn loads(&self, now: Instant) -> BTreeMap<ids::ServerId, f64> {
+        let servers = self.servers.values();
+        servers
+            .map(|server| (server.record.id.clone(), server.load(now)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decisions of an entry host, without input or output.
+//!
+//! A [`balancer::LoadBalancer`] knows the backend servers from the control replicas, their load
+//! from their answers, and their health from what became of requests. It takes the present time
+//! with each call.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`balancer`] | the choice of a backend server, or a refusal |
+//! | [`server`] | what is known of one backend server |
+//! | [`spill`] | the share of a region's requests that runs in other regions |
+//! | [`budget`] | the bound on second attempts |
+//! | [`settings`] | bounds and the place of the host |
+
+pub mod balancer;
+pub mod budget;
+pub mod server;
+pub mod settings;
+pub mod spill;
--- /dev/null
+++ b/crates/balance/src/server.rs
@@ -0,0 +1,274 @@
+//! What is known of one backend server.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use fleet::ids;
+use fleet::server::{ServerRecord, ServerState};
+use guard::bucket::RateBucket;
+
+/// Time after which half of a reported load is no longer taken as true.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
+
+/// Weight of the latest request in the averages of load, time and failures.
+const LATEST_WEIGHT: f64 = 0.15;
+
+/// Shortest time for which a backend server is left alone after it could not be reached.
+const MIN_EJECTION: Duration = Duration::from_millis(700);
+
+/// Longest time for which it is.
+const MAX_EJECTION: Duration = Duration::from_secs(6);
+
+/// Share of failures from which a backend server that answers is left alone.
+const EJECT_FAILURES: f64 = 0.6;
+
+/// Time after a broken connection in which a backend server may have started again under the
+/// same id, and be cold.
+const DOUBT_PERIOD: Duration = Duration::from_secs(3);
+
+/// Time after which half of a pace is no longer taken as true.
+const PACE_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// Least multiple of the usual time that is believed.
+const MIN_PACE: f64 = 0.3;
+
+/// Greatest multiple of the usual time that is believed.
+const MAX_PACE: f64 = 8.0;
+
+/// Objects that a backend server is taken to have warm.
+const WARM_OBJECTS: usize = 64;
+
+/// How one attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum AttemptEnd {
+    /// A whole answer.
+    Answered,
+    /// A whole answer that tells of a failure of its own.
+    Failed,
+    /// The backend server said that it didn't run the request.
+    Shed,
+    /// Another backend server has the address.
+    Misdirected,
+    /// No connection.
+    Unreachable,
+    /// The connection broke, or the answer was spoiled.
+    Broken,
+    /// No answer in time.
+    Late,
+    /// The caller left, or another attempt was faster.
+    Dropped,
+}
+
+/// Load that an answer reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at once.
+    pub slots: u32,
+}
+
+/// One backend server as this host sees it.
+#[derive(Debug)]
+pub struct TrackedServer {
+    /// What it announced.
+    pub record: ServerRecord,
+    /// Region of its zone.
+    pub region: ids::RegionName,
+    /// Whether its zone is evacuated.
+    pub evacuated: bool,
+    /// Whether this host is the one that may use it while it is cold.
+    pub cold_owner: bool,
+    outstanding: u32,
+    others: f64,
+    others_usual: f64,
+    reported_at: Option<Instant>,
+    /// Time of its requests, as a multiple of the usual time.
+    pace: f64,
+    paced_at: Option<Instant>,
+    failures: f64,
+    strikes: u32,
+    ejected_until: Option<Instant>,
+    cold_until: Option<Instant>,
+    cold_bucket: RateBucket,
+    warm: VecDeque<u64>,
+}
+
+impl TrackedServer {
+    /// Creates what is known of a backend server that was just announced.
+    pub fn new(record: ServerRecord, region: ids::RegionName) -> Self {
+        Self {
+            record,
+            region,
+            evacuated: false,
+            cold_owner: false,
+            outstanding: 0,
+            others: 0.0,
+            others_usual: 0.0,
+            reported_at: None,
+            pace: 1.0,
+            paced_at: None,
+            failures: 0.0,
+            strikes: 0,
+            ejected_until: None,
+            cold_until: None,
+            cold_bucket: RateBucket::default(),
+            warm: VecDeque::new(),
+        }
+    }
+
+    /// Tells whether it may get new work by what it and the operators say.
+    pub fn takes_work(&self) -> bool {
+        self.record.state == ServerState::Ready && !self.evacuated
+    }
+
+    /// Tells whether it is left alone after failures.
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Tells whether it is on trial: after an ejection, one request at a time.
+    pub fn is_on_trial(&self) -> bool {
+        self.strikes > 0
+    }
+
+    /// Tells whether it is cold, or may be.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Notes that it is cold for some time.
+    pub fn set_cold(&mut self, now: Instant, period: Duration) {
+        if !period.is_zero() {
+            self.cold_until = self.cold_until.max(Some(now + period));
+        }
+    }
+
+    /// Returns the requests of this host that it has.
+    pub fn outstanding(&self) -> u32 {
+        self.outstanding
+    }
+
+    /// Returns the requests that it is taken to have, those of other hosts included.
+    pub fn load(&self, now: Instant) -> f64 {
+        let others = match self.reported_at {
+            None => 0.0,
+            Some(reported_at) => {
+                let age = now.saturating_duration_since(reported_at).as_secs_f64();
+                let trust = 0.5_f64.powf(age / REPORT_HALF_LIFE.as_secs_f64());
+                self.others * trust + self.others_usual * (1.0 - trust)
+            }
+        };
+        f64::from(self.outstanding) + others
+    }
+
+    /// Returns the share of recent requests that failed or were shed.
+    pub fn failures(&self) -> f64 {
+        self.failures
+    }
+
+    /// Returns the time of its requests as a multiple of the usual time; what was seen long ago
+    /// counts less.
+    pub fn pace(&self, now: Instant) -> f64 {
+        let Some(paced_at) = self.paced_at else {
+            return 1.0;
+        };
+        let age = now.saturating_duration_since(paced_at).as_secs_f64();
+        let trust = 0.5_f64.powf(age / PACE_HALF_LIFE.as_secs_f64());
+        1.0 + (self.pace - 1.0) * trust
+    }
+
+    /// Notes the time of a request as a multiple of the usual time.
+    pub fn note_pace(&mut self, now: Instant, ratio: f64) {
+        let ratio = ratio.clamp(MIN_PACE, MAX_PACE);
+        let known = self.pace(now);
+        self.pace = known + (ratio - known) * LATEST_WEIGHT;
+        self.paced_at = Some(now);
+    }
+
+    /// Tells whether this host has recently sent a request for an object.
+    pub fn is_warm(&self, object: u64) -> bool {
+        self.warm.contains(&object)
+    }
+
+    /// Takes one request to a cold backend server where its rate permits.
+    pub fn try_take_cold(&self, now: Instant, rate: f64, burst: f64) -> bool {
+        self.cold_bucket.try_take(now, 1.0, rate, burst).is_ok()
+    }
+
+    /// Counts a request that is sent.
+    pub fn begin(&mut self, object: Option<u64>) {
+        self.outstanding += 1;
+        let Some(object) = object else {
+            return;
+        };
+        if let Some(place) = self.warm.iter().position(|known| *known == object) {
+            self.warm.remove(place);
+        }
+        self.warm.push_back(object);
+        if self.warm.len() > WARM_OBJECTS {
+            self.warm.pop_front();
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn end(&mut self, now: Instant, end: AttemptEnd, load: Option<ReportedLoad>) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        if let Some(load) = load {
+            self.note_load(now, load);
+        }
+        match end {
+            AttemptEnd::Answered => {
+                self.note_failure(0.0);
+                self.strikes = 0;
+            }
+            AttemptEnd::Failed | AttemptEnd::Shed => {
+                self.note_failure(1.0);
+                self.strikes = 0;
+                if self.failures > EJECT_FAILURES {
+                    self.eject(now);
+                    // The average starts anew once it is tried again.
+                    self.failures = EJECT_FAILURES / 2.0;
+                }
+            }
+            AttemptEnd::Unreachable | AttemptEnd::Late => {
+                self.note_failure(1.0);
+                self.eject(now);
+            }
+            AttemptEnd::Broken => {
+                self.note_failure(1.0);
+                self.set_cold(now, DOUBT_PERIOD);
+            }
+            AttemptEnd::Misdirected => self.eject(now),
+            AttemptEnd::Dropped => {}
+        }
+    }
+
+    fn eject(&mut self, now: Instant) {
+        if self.is_ejected(now) {
+            return;
+        }
+        let period = MIN_EJECTION * 2_u32.saturating_pow(self.strikes.min(8));
+        self.strikes += 1;
+        self.ejected_until = Some(now + period.min(MAX_EJECTION));
+        self.set_cold(now, period.min(MAX_EJECTION) + DOUBT_PERIOD);
+    }
+
+    fn note_failure(&mut self, failed: f64) {
+        self.failures += (failed - self.failures) * LATEST_WEIGHT;
+    }
+
+    fn note_load(&mut self, now: Instant, load: ReportedLoad) {
+        let total = f64::from(load.running + load.waiting);
+        let others = (total - f64::from(self.outstanding)).max(0.0);
+        self.others = others;
+        self.others_usual += (others - self.others_usual) * LATEST_WEIGHT;
+        self.reported_at = Some(now);
+        if load.slots > 0 {
+            self.record.slots = load.slots;
+        }
+    }
+}
--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 use wire::v1;
 
-use crate::disk::DiskReport;
+use store::writer::DiskReport;
 use crate::shares::PlaceRates;
 
 /// Something that happened to the replica, or is asked of it.
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -22,7 +22,7 @@
 
 use self::answers::PendingAnswer;
 use crate::call::{CoreCall, HostReport};
-use crate::disk::DiskReport;
+use store::writer::DiskReport;
 use crate::error::ControlError;
 use crate::metrics::ControlMetrics;
 use crate::settings::ControlSettings;
--- a/crates/control/src/core/applying.rs
+++ b/crates/control/src/core/applying.rs
@@ -23,7 +23,10 @@
         match entry.payload {
             EntryPayload::Command(command) if command == Self::OPEN_KEYS => self.book.open_keys(),
             EntryPayload::Command(command) => self.apply_ticket(entry.index, command),
-            EntryPayload::Empty | EntryPayload::Admit { .. } | EntryPayload::Found { .. } => (),
+            EntryPayload::Empty
+            | EntryPayload::Admit { .. }
+            | EntryPayload::Replace { .. }
+            | EntryPayload::Found { .. } => (),
         }
         self.applied.send_replace(entry.index);
     }
--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -20,7 +20,7 @@
 
 use crate::call::{CoreCall, CoreHandle};
 use crate::core::{CoreAction, ReplicaCore};
-use crate::disk::DiskWriter;
+use store::writer::DiskWriter;
 use crate::error::ControlError;
 use crate::metrics::ControlMetrics;
 use crate::operator::listener::OperatorListener;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,7 +11,6 @@
 //! | [`core`] | the decisions |
 //! | [`call`] | what tasks ask of the core |
 //! | [`shares`] | cap shares of entry hosts |
-//! | [`disk`] | the thread that writes and syncs |
 //! | [`peers`] | links to the other replicas |
 //! | [`submitter`] | brings tickets and reads to the leader |
 //! | [`replica_service`] | serves the other replicas |
@@ -23,7 +22,6 @@
 pub mod call;
 pub mod core;
 pub mod daemon;
-pub mod disk;
 pub mod error;
 pub mod metrics;
 pub mod operator;
--- a/crates/control/tests/failed_disk_acknowledges_nothing.rs
+++ b/crates/control/tests/failed_disk_acknowledges_nothing.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use control::call::{CoreCall, SubmitOutcome};
-use control::disk::DiskReport;
+use store::writer::DiskReport;
 use lone_core::LoneCore;
 use store::error::StoreError;
 use tokio::sync::oneshot;
--- a/crates/control/tests/lone_core/mod.rs
+++ b/crates/control/tests/lone_core/mod.rs
@@ -6,7 +6,7 @@
 
 use control::call::{CoreCall, SubmitOutcome};
 use control::core::{CoreAction, ReplicaCore};
-use control::disk::DiskReport;
+use store::writer::DiskReport;
 use control::metrics::ControlMetrics;
 use control::settings::{ControlSettings, RawSettings};
 use model::raw::RawTicket;
--- /dev/null
+++ b/crates/director/src/address.rs
@@ -0,0 +1,19 @@
+//! Replica numbers that name an address, so that a replica is known by where it listens.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use quorum::ids::ReplicaId;
+
+const PORT_BITS: u32 = 16;
+
+/// Returns the number of the replica that listens at an address.
+pub fn replica_at(address: SocketAddrV4) -> ReplicaId {
+    (u64::from(address.ip().to_bits()) << PORT_BITS) | u64::from(address.port())
+}
+
+/// Returns the address at which a replica listens.
+pub fn address_of(replica: ReplicaId) -> SocketAddr {
+    let ip = u32::try_from(replica >> PORT_BITS).unwrap_or_default();
+    let port = u16::try_from(replica & 0xffff).unwrap_or_default();
+    SocketAddrV4::new(Ipv4Addr::from_bits(ip), port).into()
+}
--- /dev/null
+++ b/crates/director/src/lib.rs
@@ -0,0 +1,28 @@
+//! Control replica of a deployment whose processes find each other.
+//!
+//! One task owns the [`core::DirectorCore`], which makes every decision. Tasks that serve callers
+//! use a [`handle::DirectorHandle`]; a newcomer starts with [`daemon::start`].
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`settings`] | addresses, folder, times |
+//! | [`address`] | replica numbers that name an address |
+//! | [`message`] | what processes ask of each other |
+//! | [`core`] | the decisions: log, state, liveness |
+//! | [`liveness`] | who was heard when |
+//! | [`directory`] | which entry hosts a client may use |
+//! | [`mesh`] | calls to other processes |
+//! | [`service`] | calls from other processes |
+//! | [`handle`] | what the process itself may ask |
+//! | [`daemon`] | start, run, planned stop |
+
+pub mod address;
+pub mod core;
+pub mod daemon;
+pub mod directory;
+pub mod handle;
+pub mod liveness;
+pub mod mesh;
+pub mod message;
+pub mod service;
+pub mod settings;
--- /dev/null
+++ b/crates/director/src/service.rs
@@ -0,0 +1,105 @@
+//! Calls from other processes of the deployment.
+
+use std::net::SocketAddr;
+
+use async_std::task;
+use bytes::Bytes;
+use quorum::ids::ReplicaId;
+use tonic::transport::server::TcpIncoming;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status};
+use wire::v1::mesh_server::{Mesh, MeshServer};
+use wire::{dial, v1};
+
+use crate::core::CoreCall;
+use crate::handle::DirectorHandle;
+use crate::message::{MeshReply, MeshRequest, ProposeOutcome, SiteReading};
+
+/// Most calls at once on one connection.
+const MAX_STREAMS: u32 = 128;
+
+/// Answers the calls of other processes.
+#[derive(Debug)]
+pub struct MeshService {
+    handle: DirectorHandle,
+}
+
+impl MeshService {
+    /// Creates the service of a replica.
+    pub fn new(handle: DirectorHandle) -> Self {
+        Self { handle }
+    }
+
+    /// Listens and serves in a task.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address can't be used.
+    pub fn serve(self, address: SocketAddr) -> std::io::Result<()> {
+        let incoming = TcpIncoming::bind(address)?.with_nodelay(Some(true));
+        let service = MeshServer::new(self)
+            .max_decoding_message_size(dial::MAX_SNAPSHOT_BYTES)
+            .max_encoding_message_size(dial::MAX_SNAPSHOT_BYTES);
+        let server = Server::builder()
+            .http2_keepalive_interval(Some(dial::PING_INTERVAL * 4))
+            .http2_keepalive_timeout(Some(dial::PING_TIMEOUT))
+            .max_concurrent_streams(MAX_STREAMS)
+            .add_service(service)
+            .serve_with_incoming(incoming);
+        task::spawn(async move {
+            if let Err(e) = server.await {
+                log::error!(target: "mesh", "other processes are no longer served: {e}");
+            }
+        });
+        Ok(())
+    }
+
+    async fn answer(&self, from: ReplicaId, request: MeshRequest) -> Option<MeshReply> {
+        let core = self.handle.core();
+        match request {
+            MeshRequest::Quorum(message) => {
+                core.offer(CoreCall::Receive { from, message });
+                Some(MeshReply::Taken)
+            }
+            MeshRequest::Heard(report) => {
+                core.offer(CoreCall::Heard(report));
+                Some(MeshReply::Taken)
+            }
+            MeshRequest::Propose(command) => {
+                let outcome = core.ask(|reply| CoreCall::Propose { command, reply }).await;
+                Some(MeshReply::Proposed(
+                    outcome.unwrap_or(ProposeOutcome::Unknown),
+                ))
+            }
+            MeshRequest::ReadSite => {
+                let reading = core.ask(CoreCall::ReadSite).await;
+                Some(MeshReply::Site(reading.unwrap_or(SiteReading::Unknown)))
+            }
+            MeshRequest::Follow(request) => {
+                let reply = core.ask(|reply| CoreCall::Follow { request, reply }).await?;
+                Some(MeshReply::Followed(Box::new(reply)))
+            }
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Mesh for MeshService {
+    async fn exchange(
+        &self,
+        request: Request<v1::MeshCall>,
+    ) -> Result<Response<v1::MeshAnswer>, Status> {
+        let call = request.into_inner();
+        let request: MeshRequest = postcard::from_bytes(&call.payload)
+            .map_err(|e| Status::invalid_argument(format!("no call: {e}")))?;
+        let reply = self
+            .answer(call.from, request)
+            .await
+            .ok_or_else(|| Status::unavailable("the replica is stopping"))?;
+        let payload =
+            postcard::to_allocvec(&reply).map_err(|e| Status::internal(e.to_string()))?;
+        Ok(Response::new(v1::MeshAnswer {
+            payload: Bytes::from(payload),
+        }))
+    }
+}
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -9,8 +9,16 @@
 pub struct QuorumConfig {
     /// This replica.
     pub id: ids::ReplicaId,
-    /// All replicas, this one included, as first set up.
+    /// Replicas of the first set-up; one that joins later finds the others through them.
     pub replicas: Vec<ids::ReplicaId>,
+    /// Whether this replica takes part in the first set-up while its folder is empty. One that
+    /// joins later, or lost its disk, must not.
+    pub may_found: bool,
+    /// Number of voters up to which a replica that joins is admitted beside the others. Beyond
+    /// it, one is admitted only in place of a voter that is silent.
+    pub voters: usize,
+    /// Silence after which a voter may be replaced by a replica that has caught up.
+    pub replace_after: Duration,
     /// Time between two heartbeats of a leader.
     pub heartbeat: Duration,
     /// Shortest time without a leader after which a replica stands for election; the longest is
@@ -29,6 +37,9 @@
     pub fn new(id: ids::ReplicaId, replicas: Vec<ids::ReplicaId>) -> Self {
         Self {
             id,
+            may_found: true,
+            voters: replicas.len(),
+            replace_after: Duration::from_millis(1_500),
             replicas,
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(600),
--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -1,5 +1,7 @@
 //! Log entries and the state that must survive a restart.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::ids;
@@ -34,6 +36,15 @@
         /// Incarnation of each replica.
         members: Vec<(ids::ReplicaId, ids::Incarnation)>,
     },
+    /// Admits a replica in place of one that is gone, so that the number of voters stays.
+    Replace {
+        /// The replica that votes no more.
+        old: ids::ReplicaId,
+        /// The replica in its place.
+        replica: ids::ReplicaId,
+        /// Its incarnation.
+        incarnation: ids::Incarnation,
+    },
 }
 
 impl EntryPayload {
@@ -41,7 +52,7 @@
     pub fn bytes(&self) -> usize {
         match self {
             Self::Command(command) => command.len(),
-            Self::Empty | Self::Admit { .. } | Self::Found { .. } => 0,
+            Self::Empty | Self::Admit { .. } | Self::Replace { .. } | Self::Found { .. } => 0,
         }
     }
 
@@ -52,10 +63,23 @@
             Self::Admit {
                 replica,
                 incarnation,
+            }
+            | Self::Replace {
+                replica,
+                incarnation,
+                ..
             } => vec![(*replica, *incarnation)],
             Self::Found { members } => members.clone(),
         }
     }
+
+    /// Changes the voters as the entry says.
+    pub fn change_members(&self, members: &mut BTreeMap<ids::ReplicaId, ids::Incarnation>) {
+        if let Self::Replace { old, .. } = self {
+            members.remove(old);
+        }
+        members.extend(self.admissions());
+    }
 }
 
 /// Term, vote and membership; synced before any message that depends on them.
--- a/crates/quorum/src/formation.rs
+++ b/crates/quorum/src/formation.rs
@@ -31,6 +31,8 @@
     heard: BTreeMap<ids::ReplicaId, u64>,
     /// What the founder heard: incarnation of each replica that is bound to it.
     bound: BTreeMap<ids::ReplicaId, ids::Incarnation>,
+    /// Replicas that others named as voters.
+    contacts: Vec<ids::ReplicaId>,
     /// Highest term of a greeting; a founder before this one may have led in it.
     term: ids::Term,
 }
@@ -44,10 +46,16 @@
             nonce,
             heard: BTreeMap::new(),
             bound: BTreeMap::new(),
+            contacts: Vec::new(),
             term: 0,
         }
     }
 
+    /// Returns the replicas that others named as voters.
+    pub(crate) fn contacts(&self) -> impl Iterator<Item = ids::ReplicaId> + '_ {
+        self.contacts.iter().copied()
+    }
+
     /// Returns when the next greeting is due.
     pub(crate) fn greeting_at(&self) -> Instant {
         self.greeting_at
@@ -75,7 +83,7 @@
             return;
         }
         self.formation.greeting_at = self.now + self.config.heartbeat;
-        for peer in self.peers() {
+        for peer in self.contacts() {
             self.greet(peer);
         }
         self.found();
@@ -103,6 +111,7 @@
         self.formation.heard.insert(from, nonce);
         if !self.is_blank() {
             self.tell_admitted(from, message.incarnation);
+            self.tell_members(from);
             if self.is_founder(self.config.id) {
                 self.greet(from);
             }
@@ -112,6 +121,9 @@
         if self.is_founder(from) && echo == self.formation.nonce {
             self.bind(message.incarnation);
         }
+        if !self.config.replicas.contains(&from) {
+            return;
+        }
         if founder == Some(self.incarnation) {
             self.formation.bound.insert(from, message.incarnation);
         } else {
@@ -131,7 +143,8 @@
     /// Writes the first entry once all others are bound to this founder.
     fn found(&mut self) {
         let all_bound = self.formation.bound.len() + 1 == self.config.replicas.len();
-        if !self.is_blank() || !all_bound || !self.is_founder(self.config.id) {
+        let may_found = self.config.may_found && self.is_founder(self.config.id);
+        if !self.is_blank() || !all_bound || !may_found {
             return;
         }
         let mut members = self.formation.bound.clone();
@@ -169,6 +182,19 @@
         })
     }
 
+    /// Tells a replica that joins which voters there are, where it can't know them.
+    fn tell_members(&mut self, to: ids::ReplicaId) {
+        if self.leadership.is_some() || self.members.contains_key(&to) {
+            return;
+        }
+        let members = self.members.keys().copied().collect();
+        self.send(SyncNeed::Nothing, to, MessageBody::Members { members });
+    }
+
+    pub(crate) fn on_members(&mut self, members: &[ids::ReplicaId]) {
+        self.formation.contacts = members.to_vec();
+    }
+
     pub(crate) fn on_admitted(&mut self, incarnation: ids::Incarnation) {
         if incarnation == self.incarnation {
             self.become_member();
@@ -183,6 +209,6 @@
         incarnation: ids::Incarnation,
     ) -> bool {
         let bound = self.formation.founder == Some(incarnation);
-        self.is_blank() && self.is_founder(from) && !bound
+        self.config.may_found && self.is_blank() && self.is_founder(from) && !bound
     }
 }
--- a/crates/quorum/src/leadership.rs
+++ b/crates/quorum/src/leadership.rs
@@ -29,6 +29,8 @@
 /// State of a leader in its term.
 #[derive(Debug)]
 pub(crate) struct Leadership {
+    /// When this leader was elected.
+    pub(crate) since: Instant,
     /// The other replicas.
     pub(crate) peers: BTreeMap<ids::ReplicaId, PeerProgress>,
     /// Rounds of heartbeats.
@@ -53,6 +55,7 @@
             .map(|peer| (*peer, PeerProgress::new(first_index)))
             .collect();
         Self {
+            since: now,
             peers,
             rounds: RoundBook::new(now),
             first_index,
--- a/crates/quorum/src/machine.rs
+++ b/crates/quorum/src/machine.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::config::QuorumConfig;
-use crate::entry::{HardState, LogEntry, LogSnapshot, RecoveredState};
+use crate::entry::{EntryPayload, HardState, LogEntry, LogSnapshot, RecoveredState};
 use crate::event::{AnswerOutcome, Effect, Event, Role};
 use crate::fault::PlantedFault;
 use crate::formation::FormationState;
@@ -15,6 +15,7 @@
 use crate::leadership::Leadership;
 use crate::log::ReplicatedLog;
 use crate::message::{Message, MessageBody};
+use crate::progress::PeerProgress;
 use crate::writes::{SyncNeed, WriteQueue};
 
 /// One replica of the log.
@@ -39,6 +40,8 @@
     pub(crate) votes: BTreeSet<ids::ReplicaId>,
     pub(crate) leadership: Option<Leadership>,
     pub(crate) formation: FormationState,
+    /// Replicas that aren't voters and when each was last heard.
+    pub(crate) joiners: BTreeMap<ids::ReplicaId, Instant>,
     pub(crate) stopping: bool,
     pub(crate) fault: Option<PlantedFault>,
     random: SmallRng,
@@ -79,6 +82,7 @@
             votes: BTreeSet::new(),
             leadership: None,
             formation: FormationState::new(now, random.random()),
+            joiners: BTreeMap::new(),
             stopping: false,
             fault: None,
             random,
@@ -183,7 +187,16 @@
 
     /// Returns the fewest replicas of which any two sets share one.
     pub(crate) fn quorum(&self) -> usize {
-        self.config.replicas.len() / 2 + 1
+        let voters = match self.members.len() {
+            0 => self.config.replicas.len(),
+            count => count,
+        };
+        voters / 2 + 1
+    }
+
+    /// Returns the voters as of the last entry.
+    pub fn voters(&self) -> impl Iterator<Item = ids::ReplicaId> + '_ {
+        self.members.keys().copied()
     }
 
     /// Returns whether this incarnation is admitted, so that it votes and counts.
@@ -196,11 +209,38 @@
         self.log.last_index() == 0
     }
 
-    /// Returns the other replicas.
+    /// Returns the other replicas that votes and entries go to: the voters, and those that join.
     pub(crate) fn peers(&self) -> Vec<ids::ReplicaId> {
-        let own = self.config.id;
-        let replicas = self.config.replicas.iter().copied();
-        replicas.filter(|replica| *replica != own).collect()
+        let silent = self.config.replace_after * 2;
+        let joiners = self.joiners.iter();
+        let joiners = joiners.filter(|(_, heard_at)| self.now < **heard_at + silent);
+        let mut peers: BTreeSet<_> = joiners.map(|(joiner, _)| *joiner).collect();
+        peers.extend(self.members.keys());
+        if self.members.is_empty() {
+            peers.extend(self.config.replicas.iter());
+        }
+        peers.remove(&self.config.id);
+        peers.into_iter().collect()
+    }
+
+    /// Returns the replicas that one without a leader greets.
+    pub(crate) fn contacts(&self) -> Vec<ids::ReplicaId> {
+        let mut contacts: BTreeSet<_> = self.config.replicas.iter().copied().collect();
+        contacts.extend(self.members.keys());
+        contacts.extend(self.formation.contacts());
+        contacts.remove(&self.config.id);
+        contacts.into_iter().collect()
+    }
+
+    /// Starts to send entries to a replica that joins, where this one leads.
+    fn track_joiner(&mut self, joiner: ids::ReplicaId) {
+        let next = self.log.last_index() + 1;
+        if let Some(leadership) = self.leadership.as_mut() {
+            let peers = &mut leadership.peers;
+            peers
+                .entry(joiner)
+                .or_insert_with(|| PeerProgress::new(next));
+        }
     }
 
     /// Moves the time of the next election to a random point.
@@ -243,7 +283,7 @@
 
     /// Appends an entry to the log; it is written when the event ends.
     pub(crate) fn append(&mut self, entry: LogEntry) {
-        self.members.extend(entry.payload.admissions());
+        entry.payload.change_members(&mut self.members);
         self.log.append(entry);
     }
 
@@ -307,6 +347,19 @@
         if entry.payload.admissions().contains(&own) {
             self.become_member();
         }
+        if matches!(entry.payload, EntryPayload::Replace { old, .. } if old == own.0) {
+            self.leave_members();
+        }
+    }
+
+    /// Notes that another replica took this one's place.
+    fn leave_members(&mut self) {
+        self.hard.member = false;
+        self.writes.change_hard();
+        if self.role != Role::Learner {
+            self.end_leadership();
+            self.role = Role::Learner;
+        }
     }
 
     /// Takes a snapshot of the application in and drops the entries far behind it.
@@ -341,7 +394,7 @@
         let mut members: BTreeMap<_, _> = self.snapshot.admitted.iter().copied().collect();
         for place in self.snapshot.index + 1..=index {
             if let Some(entry) = self.log.get(place) {
-                members.extend(entry.payload.admissions());
+                entry.payload.change_members(&mut members);
             }
         }
         members
@@ -361,11 +414,16 @@
     }
 
     fn receive(&mut self, from: ids::ReplicaId, message: Message) {
-        if from == self.config.id || !self.config.replicas.contains(&from) {
+        if from == self.config.id {
             return;
         }
+        if !self.members.contains_key(&from) {
+            self.joiners.insert(from, self.now);
+            self.track_joiner(from);
+        }
         match message.body {
             MessageBody::Greeting { .. } => self.on_greeting(from, &message),
+            MessageBody::Members { members } => self.on_members(&members),
             MessageBody::Admitted { incarnation } => self.on_admitted(incarnation),
             MessageBody::VoteRequest { .. } => self.on_vote_request(from, &message),
             MessageBody::VoteReply { pre, granted } => {
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -84,4 +84,9 @@
         /// The incarnation.
         incarnation: ids::Incarnation,
     },
+    /// Answers a greeting at a replica that doesn't lead: whom else to greet.
+    Members {
+        /// The voters.
+        members: Vec<ids::ReplicaId>,
+    },
 }
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -19,6 +19,8 @@
     pub(crate) next: ids::LogIndex,
     /// Latest round that it answered.
     pub(crate) round: u64,
+    /// When it last answered this leader.
+    pub(crate) heard_at: Option<Instant>,
     /// Until when a snapshot is taken to be on its way.
     pub(crate) snapshot_until: Option<Instant>,
 }
@@ -33,6 +35,7 @@
             matched: 0,
             next,
             round: 0,
+            heard_at: None,
             snapshot_until: None,
         }
     }
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -148,6 +148,7 @@
             return;
         };
         progress.track(message.incarnation, message.member, current);
+        progress.heard_at = Some(now);
         progress.round = progress.round.max(round);
         if matched {
             progress.advance(index);
@@ -247,11 +248,48 @@
         if known || !alive || !caught_up || self.is_admitting() {
             return;
         }
-        self.append_own(EntryPayload::Admit {
+        let Some(payload) = self.admission(replica, incarnation) else {
+            return;
+        };
+        self.append_own(payload);
+        self.send_entries();
+    }
+
+    /// Returns the entry by which a replica that has caught up becomes a voter, where there is
+    /// room for it.
+    fn admission(
+        &self,
+        replica: ids::ReplicaId,
+        incarnation: ids::Incarnation,
+    ) -> Option<EntryPayload> {
+        let room = self.members.len() < self.config.voters;
+        if room || self.members.contains_key(&replica) {
+            return Some(EntryPayload::Admit {
+                replica,
+                incarnation,
+            });
+        }
+        let old = self.silent_voter()?;
+        Some(EntryPayload::Replace {
+            old,
             replica,
             incarnation,
-        });
-        self.send_entries();
+        })
+    }
+
+    /// Returns a voter that hasn't answered this leader for long.
+    fn silent_voter(&self) -> Option<ids::ReplicaId> {
+        let leadership = self.leadership.as_ref()?;
+        let limit = self.config.replace_after;
+        let heard_at = |voter: &ids::ReplicaId| {
+            let progress = leadership.peers.get(voter);
+            progress
+                .and_then(|progress| progress.heard_at)
+                .unwrap_or(leadership.since)
+        };
+        let others = self.members.keys().filter(|voter| **voter != self.config.id);
+        let oldest = others.min_by_key(|voter| heard_at(voter))?;
+        (self.now >= heard_at(oldest) + limit).then_some(*oldest)
     }
 
     /// Returns whether an admission is in the log and not committed.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`segment`] | records of the log and their replay |
 //! | [`identity`] | whose folder it is |
 //! | [`mark`] | how far the log was synced |
+//! | [`writer`] | the thread that writes and syncs |
 //! | [`error`] | what goes wrong, with file and offset |
 
 pub mod disk;
@@ -20,3 +21,4 @@
 pub mod record;
 pub mod replica;
 pub mod segment;
+pub mod writer;
--- a/crates/control/src/disk.rs
+++ b/crates/store/src/writer.rs
@@ -7,8 +7,8 @@
 
 use quorum::event::PersistWrite;
 use quorum::ids;
-use store::error::StoreError;
-use store::replica::ReplicaStore;
+use crate::error::StoreError;
+use crate::replica::ReplicaStore;
 
 /// What became of a group of writes.
 #[derive(Debug)]
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,5 +5,6 @@
 //! | [`logs`] | lines of text or JSON, with a prefix for each part |
 //! | [`metrics`] | counters and histograms, shown at `/metrics` |
 
+pub mod lines;
 pub mod logs;
 pub mod metrics;
--- a/crates/wire/src/dial.rs
+++ b/crates/wire/src/dial.rs
@@ -33,13 +33,22 @@
 ///
 /// Fails where the process doesn't answer within [`CONNECT_TIMEOUT`].
 pub async fn connect(address: SocketAddr, token: &AccessToken) -> Result<TokenChannel, Error> {
-    let channel = Endpoint::from_shared(format!("http://{address}"))?
+    let channel = connect_plain(address).await?;
+    Ok(InterceptedService::new(channel, token.sender()))
+}
+
+/// Connects to a process on a network that only the system's own hosts reach; as [`connect`].
+///
+/// # Errors
+///
+/// Fails where the process doesn't answer within [`CONNECT_TIMEOUT`].
+pub async fn connect_plain(address: SocketAddr) -> Result<Channel, Error> {
+    Endpoint::from_shared(format!("http://{address}"))?
         .connect_timeout(CONNECT_TIMEOUT)
         .tcp_nodelay(true)
         .http2_keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
         .keep_alive_while_idle(true)
         .connect()
-        .await?;
-    Ok(InterceptedService::new(channel, token.sender()))
+        .await
 }
