--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -232,7 +232,8 @@
     path.map_or_else(|| Uri::from_static("/"), Uri::from)
 }
 
-fn has_close(headers: &HeaderMap) -> bool {
+/// Tells whether a message is the last on its connection.
+pub fn has_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).iter();
     let mut names = values
         .filter_map(|value| value.to_str().ok())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`state`] | what the host knows: routes, backend servers, phase |
 //! | [`follower`] | the way of the state from the control replicas |
 //! | [`server`] | connections of clients and their planned stop |
+//! | [`pipeline`] | connections on which several requests run side by side |
 //! | [`stream`] | a client's socket, with notice of its end |
 //! | [`request`] | a request as it is forwarded |
 //! | [`forwarder`] | attempts, hedges, final answers |
@@ -21,6 +22,7 @@
 pub mod attempt;
 pub mod follower;
 pub mod forwarder;
+pub mod pipeline;
 pub mod pool;
 pub mod request;
 pub mod server;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -9,8 +9,10 @@
 
 use async_std::task;
 use bytes::Bytes;
-use futures_util::future::{self, Either};
+use fleet::site::ClientLimits;
+use futures_util::future::{self, Either, FutureExt};
 use http::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -23,8 +25,9 @@
 use crate::answer::{AnswerBody, OwnAnswer};
 use crate::attempt;
 use crate::forwarder::{ForwardEnd, RequestForwarder};
+use crate::pipeline::{self, PipelineEnd};
 use crate::request::{self, ForwardRequest};
-use crate::stream::ClientStream;
+use crate::stream::{ClientStream, RewoundStream};
 
 /// Longest time that a client takes no byte of its answer.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -49,7 +52,7 @@
 
 /// What a server does with connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ServerPhase {
+pub enum ServerPhase {
     /// Keeps them open between requests.
     Serving,
     /// Closes each after its next answer.
@@ -128,13 +131,35 @@
 
     async fn serve_stream(&self, stream: ClientStream) {
         let limits = self.forwarder.sender().state.routes().site.limits.clone();
-        let service = service_fn(|request| Box::pin(self.serve_request(request)));
+        let mut phase = self.phase.subscribe();
+        let answer = |parts: Parts| self.serve_request(parts, None).boxed();
+        match pipeline::serve(&stream, &limits, &mut phase, answer).await {
+            PipelineEnd::Left => {}
+            PipelineEnd::Closed => stream.linger().await,
+            PipelineEnd::HandOver(read) => self.serve_library(stream, read, &limits).await,
+        }
+    }
+
+    /// Serves a connection by the HTTP library, one request at a time.
+    async fn serve_library(&self, stream: ClientStream, read: Bytes, limits: &ClientLimits) {
+        let service = service_fn(|request: Request<Incoming>| {
+            let (parts, body) = request.into_parts();
+            Box::pin(async move {
+                let mut response = self.serve_request(parts, Some(body)).await;
+                if *self.phase.borrow() != ServerPhase::Serving {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
+                Ok::<_, Infallible>(response)
+            })
+        });
         // The library's limit on the head also runs while a connection is idle.
+        let io = TokioIo::new(RewoundStream::new(read, stream.clone()));
         let mut http = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
             .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-            .serve_connection(TokioIo::new(stream.clone()), service);
+            .serve_connection(io, service);
         let mut phase = self.phase.subscribe();
         let ended = {
             let left = std::pin::pin!(stream.closed());
@@ -160,39 +185,30 @@
         stream.linger().await;
     }
 
-    async fn serve_request(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<Response<AnswerBody>, Infallible> {
+    async fn serve_request(&self, parts: Parts, body: Option<Incoming>) -> Response<AnswerBody> {
         let names = &self.forwarder.sender().names;
-        let id = request.headers().get(&names.request_id).cloned();
-        let mut response = match self.answer(request).await {
-            Ok(ForwardEnd::Answer(answer)) => answer.map(Full::new),
-            Ok(ForwardEnd::Own(own)) | Err(own) => {
-                log::info!(
-                    target: "request",
-                    "answered by the host; request={} status={} cause={:?}",
-                    id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default(),
-                    own.status().as_u16(),
-                    own.text()
-                );
-                let mut response = own.to_response();
-                if let Some(id) = id {
-                    response.headers_mut().insert(names.request_id.clone(), id);
-                }
-                response
-            }
+        let id = parts.headers.get(&names.request_id).cloned();
+        let own = match self.answer(parts, body).await {
+            Ok(ForwardEnd::Answer(answer)) => return answer.map(Full::new),
+            Ok(ForwardEnd::Own(own)) | Err(own) => own,
         };
-        if *self.phase.borrow() != ServerPhase::Serving {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(CONNECTION, close);
+        log::info!(
+            target: "request",
+            "answered by the host; request={} status={} cause={:?}",
+            id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default(),
+            own.status().as_u16(),
+            own.text()
+        );
+        let mut response = own.to_response();
+        if let Some(id) = id {
+            response.headers_mut().insert(names.request_id.clone(), id);
         }
-        Ok(response)
+        response
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<ForwardEnd, OwnAnswer> {
+    async fn answer(&self, parts: Parts, body: Option<Incoming>) -> Result<ForwardEnd, OwnAnswer> {
         let now = Instant::now();
-        let request = self.read(now, request).await?;
+        let request = self.read(now, parts, body).await?;
         Ok(self.forwarder.forward(&request).await)
     }
 
@@ -200,10 +216,10 @@
     async fn read(
         &self,
         now: Instant,
-        request: Request<Incoming>,
+        parts: Parts,
+        body: Option<Incoming>,
     ) -> Result<ForwardRequest, OwnAnswer> {
         let sender = self.forwarder.sender();
-        let (parts, body) = request.into_parts();
         let mut headers = parts.headers;
         if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
             return Err(OwnAnswer::Malformed(
@@ -233,7 +249,10 @@
         let id = id.unwrap_or_default().to_string();
         let deadline = request::deadline(names, &headers, route, now);
         let object = request::object(names, &headers, route);
-        let body = read_body(body, table.site.limits.max_body_bytes).await?;
+        let body = match body {
+            Some(body) => read_body(body, table.site.limits.max_body_bytes).await?,
+            None => Bytes::new(),
+        };
         request::strip_hop_headers(&mut headers);
         Ok(ForwardRequest {
             id,
