feat(balance): keep objects warm: one owner a region, spilled objects together

Change: an object has an owner in the region and one beyond; spilled objects leave by their hash; times of warm and strange objects are kept apart; a new copy costs; one broken connection no longer makes a server count as cold.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -23,6 +23,10 @@
 /// Time of one request, until some were seen; that of a short read.
 const FIRST_WORK: Duration = Duration::from_millis(100);
 
+/// Time of a request for an object that is not warm, as a multiple of one that is, until some were
+/// seen.
+const FIRST_STRANGE: f64 = 2.5;
+
 /// Weight of the latest request in a service's time of work.
 const WORK_WEIGHT: f64 = 0.05;
 
@@ -35,8 +39,9 @@
 /// What leaving the zone counts, as time: bytes between zones are dear.
 const ZONE_PENALTY: Duration = Duration::from_millis(12);
 
-/// Part of a request's time that a warm object saves.
-const WARM_GAIN: f64 = 0.6;
+/// What a further copy of an object counts, as a part of the time of a request for a strange one: it
+/// drives another object out.
+const COPY_PENALTY: f64 = 0.5;
 
 /// Load below which a backend server has room, as a part of its slots.
 const ROOM_LOAD: f64 = 0.85;
@@ -75,6 +80,8 @@
     pub key: ServerKey,
     /// What it announced.
     pub record: ServerRecord,
+    /// Whether the object was taken to be warm there.
+    pub warm: bool,
     /// Load that it was taken to have.
     pub load: f64,
     /// Time that the request was taken to need.
@@ -105,8 +112,25 @@
     servers: Vec<ServerKey>,
     spill: RegionSpill,
     budget: AttemptBudget,
-    /// Seconds of one request at a backend server with room.
+    /// Seconds of one request at a backend server with room, where its object is warm.
     work: f64,
+    /// Seconds of one for an object that is not.
+    strange_work: f64,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy)]
+pub struct AttemptReport {
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// Time that it took.
+    pub took: Duration,
+    /// Load that its answer reports.
+    pub load: Option<ReportedLoad>,
+    /// Object that it was about.
+    pub object: Option<u64>,
+    /// Whether the object was taken to be warm.
+    pub warm: bool,
 }
 
 impl ServiceGroup {
@@ -116,6 +140,7 @@
             spill: RegionSpill::new(now),
             budget: AttemptBudget::new(),
             work: FIRST_WORK.as_secs_f64(),
+            strange_work: FIRST_WORK.as_secs_f64() * FIRST_STRANGE,
         }
     }
 }
@@ -142,6 +167,7 @@
     cost: f64,
     /// Seconds until the answer.
     expected: f64,
+    warm: bool,
     local: bool,
     room: bool,
     cold: bool,
@@ -265,45 +291,49 @@
         }
         let server = &mut self.servers[best.key];
         let load = server.load(now);
-        server.begin(query.object);
+        server.begin();
         Ok(ChosenServer {
             key: best.key,
             record: server.record.clone(),
+            warm: best.warm,
             load,
             expected: Duration::from_secs_f64(best.expected),
         })
     }
 
     /// Tells how a request ended at the backend server that was chosen for it.
-    pub fn finish(
-        &mut self,
-        now: Instant,
-        key: ServerKey,
-        end: AttemptEnd,
-        took: Duration,
-        load: Option<ReportedLoad>,
-    ) {
+    pub fn finish(&mut self, now: Instant, key: ServerKey, report: AttemptReport) {
         let Some(server) = self.servers.get_mut(key) else {
             return;
         };
-        server.end(now, end, load);
+        server.end(now, report.end, report.load);
         let far = server.region != self.region;
         let round = if far { FAR_ROUND } else { NEAR_ROUND };
-        let work = took.saturating_sub(round).as_secs_f64();
+        let work = report.took.saturating_sub(round).as_secs_f64();
         let Some(group) = self.groups.get_mut(&server.record.service) else {
             return;
         };
-        match end {
+        let usual = if report.warm {
+            &mut group.work
+        } else {
+            &mut group.strange_work
+        };
+        let ratio = work / usual.max(0.001);
+        match report.end {
             AttemptEnd::Answered => {
-                server.note_pace(now, work / group.work.max(0.001));
-                group.work += (work - group.work) * WORK_WEIGHT;
+                server.note_pace(now, ratio);
+                *usual += (work - *usual) * WORK_WEIGHT;
+                if let Some(object) = report.object {
+                    server.note_warm(object);
+                }
             }
             // One that was given up took longer than this, if it took longer than usual.
-            AttemptEnd::Dropped | AttemptEnd::Late if work > group.work => {
-                server.note_pace(now, work / group.work.max(0.001));
+            AttemptEnd::Dropped | AttemptEnd::Late if ratio > 1.0 => {
+                server.note_pace(now, ratio);
             }
             _ => {}
         }
+        group.strange_work = group.strange_work.max(group.work);
     }
 
     fn group(&mut self, now: Instant, service: &str) -> &mut ServiceGroup {
@@ -407,17 +437,30 @@
                 && !query.tried.contains(key)
         });
         let candidates: Vec<_> = candidates.collect();
-        let owner = query.object.and_then(|object| self.object_owner(object, &candidates));
-        let weigh = |key| self.weigh(now, query, group.work, owner, key);
+        let owners = query.object.map(|object| {
+            [true, false].map(|local| self.object_owner(object, local, &candidates))
+        });
+        let weigh = |key| {
+            let owns = owners.is_none_or(|owners| owners.contains(&Some(key)));
+            self.weigh(now, query, group, owns, key)
+        };
         candidates.into_iter().map(weigh).collect()
     }
 
-    /// Returns the backend server of this region that requests for an object go to, all else
-    /// equal: the first by hash, with those of this host's zone before others.
-    fn object_owner(&self, object: u64, candidates: &[ServerKey]) -> Option<ServerKey> {
-        let local = candidates.iter().filter(|key| self.servers[**key].region == self.region);
+    /// Returns the backend server of this region, or of the others, that requests for an object
+    /// go to, all else equal: the first by hash, with those of this host's zone before others.
+    fn object_owner(
+        &self,
+        object: u64,
+        local: bool,
+        candidates: &[ServerKey],
+    ) -> Option<ServerKey> {
+        let candidates = candidates.iter().filter(|key| {
+            let server = &self.servers[**key];
+            (server.region == self.region) == local
+        });
         let near = |key: &ServerKey| self.servers[*key].record.zone == self.settings.zone;
-        local
+        candidates
             .max_by_key(|key| {
                 let id = self.servers[**key].record.id.as_bytes();
                 (near(key), xxh3::xxh3_64_with_seed(id, object))
@@ -429,8 +472,8 @@
         &self,
         now: Instant,
         query: &ServerQuery<'_>,
-        work: f64,
-        owner: Option<ServerKey>,
+        group: &ServiceGroup,
+        owns: bool,
         key: ServerKey,
     ) -> ServerCost {
         let server = &self.servers[key];
@@ -439,24 +482,25 @@
         let load = server.load(now);
         let queued = (load + 1.0 - slots).max(0.0);
         let cold = server.is_cold(now);
+        let warm = query.object.is_none_or(|object| server.is_warm(object));
         let round = if local { NEAR_ROUND } else { FAR_ROUND };
-        let work = work * server.pace(now);
-        let expected = work * (1.0 + queued / slots) + round.as_secs_f64();
-        let mut cost = expected + work * 0.2 * load / slots;
+        let pace = server.pace(now);
+        let own = if warm { group.work } else { group.strange_work };
+        let wait = group.work * queued / slots;
+        let expected = (own + wait) * pace + round.as_secs_f64();
+        let mut cost = expected + group.work * 0.2 * load / slots;
         if server.record.zone != self.settings.zone {
             cost += ZONE_PENALTY.as_secs_f64();
         }
-        let strange = query.object.is_some_and(|object| {
-            owner != Some(key) && !server.is_warm(object)
-        });
-        if strange {
-            cost += work * WARM_GAIN;
+        if !warm && !owns {
+            cost += group.strange_work * COPY_PENALTY;
         }
-        cost += work * 2.0 * server.failures();
+        cost += group.work * 2.0 * server.failures();
         ServerCost {
             key,
             cost,
             expected,
+            warm,
             local,
             room: load + 1.0 <= slots * ROOM_LOAD || load < 1.0,
             cold,
@@ -483,12 +527,16 @@
         let has_local = costs.iter().any(|cost| cost.local);
         let full = !costs.iter().any(|cost| cost.local && cost.room);
         let max_shift = self.settings.max_shift;
+        let again = !query.tried.is_empty();
         let spill = &mut self.group(now, query.service).spill;
+        if again {
+            return near.or(far);
+        }
         if !has_local {
             spill.set(now, 1.0);
             return far;
         }
-        let leaves = spill.decide(now, full, max_shift);
+        let leaves = spill.decide(now, query.object, full, max_shift);
         match (near, far) {
             (_, Some(far)) if leaves && far.room => Some(far),
             (near, _) => near,
@@ -498,7 +546,8 @@
     /// Returns the longest time, in seconds, that a request may be expected to need: what is
     /// wanted, but never less than a request needs that finds a free slot.
     fn time_limit(&self, query: &ServerQuery<'_>) -> f64 {
-        let work = self.usual_time(query.service).as_secs_f64();
+        let group = self.groups.get(query.service);
+        let work = group.map_or(FIRST_WORK.as_secs_f64(), |group| group.strange_work);
         let alone = work * 1.3 + FAR_ROUND.as_secs_f64();
         query.wanted.as_secs_f64().max(alone)
     }
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -22,7 +22,10 @@
 /// Share of failures from which a backend server that answers is left alone.
 const EJECT_FAILURES: f64 = 0.6;
 
-/// Time after a broken connection in which a backend server may have started again under the
+/// Broken connections without an answer between them that make a new start likely.
+const DOUBT_BREAKS: u32 = 3;
+
+/// Time after broken connections in which a backend server may have started again under the
 /// same id, and be cold.
 const DOUBT_PERIOD: Duration = Duration::from_secs(3);
 
@@ -91,6 +94,8 @@
     paced_at: Option<Instant>,
     failures: f64,
     strikes: u32,
+    /// Broken connections since the last answer.
+    breaks: u32,
     ejected_until: Option<Instant>,
     cold_until: Option<Instant>,
     cold_bucket: RateBucket,
@@ -113,6 +118,7 @@
             paced_at: None,
             failures: 0.0,
             strikes: 0,
+            breaks: 0,
             ejected_until: None,
             cold_until: None,
             cold_bucket: RateBucket::default(),
@@ -200,11 +206,12 @@
     }
 
     /// Counts a request that is sent.
-    pub fn begin(&mut self, object: Option<u64>) {
+    pub fn begin(&mut self) {
         self.outstanding += 1;
-        let Some(object) = object else {
-            return;
-        };
+    }
+
+    /// Notes that it has answered a request for an object.
+    pub fn note_warm(&mut self, object: u64) {
         if let Some(place) = self.warm.iter().position(|known| *known == object) {
             self.warm.remove(place);
         }
@@ -224,6 +231,7 @@
             AttemptEnd::Answered => {
                 self.note_failure(0.0);
                 self.strikes = 0;
+                self.breaks = 0;
             }
             AttemptEnd::Failed | AttemptEnd::Shed => {
                 self.note_failure(1.0);
@@ -240,7 +248,10 @@
             }
             AttemptEnd::Broken => {
                 self.note_failure(1.0);
-                self.set_cold(now, DOUBT_PERIOD);
+                self.breaks += 1;
+                if self.breaks >= DOUBT_BREAKS {
+                    self.set_cold(now, DOUBT_PERIOD);
+                }
             }
             AttemptEnd::Misdirected => self.eject(now),
             AttemptEnd::Dropped => {}
--- a/crates/balance/src/spill.rs
+++ b/crates/balance/src/spill.rs
@@ -40,8 +40,14 @@
     }
 
     /// Notes a request and whether its own region is full, and tells whether it is one that
-    /// leaves.
-    pub fn decide(&mut self, now: Instant, full: bool, max_shift: f64) -> bool {
+    /// leaves. Requests for the same object leave together, so that it is warm in one region only.
+    pub fn decide(
+        &mut self,
+        now: Instant,
+        object: Option<u64>,
+        full: bool,
+        max_shift: f64,
+    ) -> bool {
         let passed = now.saturating_duration_since(self.moved_at).as_secs_f64();
         self.moved_at = now;
         let weight = 1.0 - (-passed / WISH_MEMORY.as_secs_f64()).exp();
@@ -51,6 +57,11 @@
         let pace = max_shift * SHIFT_USED / SHIFT_WINDOW.as_secs_f64();
         let step = pace * passed.min(1.0);
         self.share += (self.wish - self.share).clamp(-step, step);
+        if let Some(object) = object {
+            // Another part of the digest than the one that ranks backend servers.
+            let place = (object.rotate_left(32) >> 11) as f64 / (1_u64 << 53) as f64;
+            return place < self.share;
+        }
         self.credit = (self.credit + self.share).min(2.0);
         if self.credit >= 1.0 {
             self.credit -= 1.0;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use balance::balancer::{ChosenServer, ServerKey};
+use balance::balancer::{AttemptReport, ChosenServer, ServerKey};
 use balance::server::{AttemptEnd, ReportedLoad};
 use bytes::Bytes;
 use http::header::{HeaderMap, CONNECTION, CONTENT_ENCODING, HOST};
@@ -46,16 +46,20 @@
 pub struct LoadGuard {
     state: Arc<GatewayState>,
     key: ServerKey,
+    object: Option<u64>,
+    warm: bool,
     began_at: Instant,
     open: bool,
 }
 
 impl LoadGuard {
     /// Begins to count.
-    pub fn new(state: Arc<GatewayState>, key: ServerKey) -> Self {
+    pub fn new(state: Arc<GatewayState>, chosen: &ChosenServer, object: Option<u64>) -> Self {
         Self {
             state,
-            key,
+            key: chosen.key,
+            object,
+            warm: chosen.warm,
             began_at: Instant::now(),
             open: true,
         }
@@ -64,9 +68,14 @@
     fn finish(&mut self, end: AttemptEnd, load: Option<ReportedLoad>) {
         if std::mem::take(&mut self.open) {
             let now = Instant::now();
-            let took = now.saturating_duration_since(self.began_at);
-            let mut balancer = self.state.balancer();
-            balancer.finish(now, self.key, end, took, load);
+            let report = AttemptReport {
+                end,
+                took: now.saturating_duration_since(self.began_at),
+                load,
+                object: self.object,
+                warm: self.warm,
+            };
+            self.state.balancer().finish(now, self.key, report);
         }
     }
 }
@@ -97,8 +106,22 @@
         chosen: &ChosenServer,
         mut guard: LoadGuard,
     ) -> AttemptResult {
+        let began_at = Instant::now();
         let (result, end, load) = self.exchange(request, chosen).await;
         guard.finish(end, load);
+        let reported = load.map_or(-1, |load| i64::from(load.running + load.waiting));
+        log::info!(
+            target: "attempt",
+            "attempt ended; request={} server={} service={} object={:x} load={:.1} warm={} expected_ms={} reported={reported} end={end} took_ms={}",
+            request.id,
+            chosen.record.id,
+            request.service,
+            request.object.unwrap_or_default(),
+            chosen.load,
+            chosen.warm,
+            chosen.expected.as_millis(),
+            began_at.elapsed().as_millis(),
+        );
         result
     }
 
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -161,7 +161,7 @@
         let key = chosen.key;
         let hedge_after = chosen.expected.mul_f64(HEDGE_FACTOR).max(MIN_HEDGE);
         progress.tried.push(key);
-        let guard = LoadGuard::new(Arc::clone(state), key);
+        let guard = LoadGuard::new(Arc::clone(state), &chosen, request.object);
         let attempt = async move {
             let result = self.sender.send(request, &chosen, guard).await;
             (key, result)
