--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -134,10 +134,10 @@
 }
 
 impl ServiceGroup {
-    fn new(now: Instant) -> Self {
+    fn new() -> Self {
         Self {
             servers: Vec::new(),
-            spill: RegionSpill::new(now),
+            spill: RegionSpill::new(),
             budget: AttemptBudget::new(),
             work: FIRST_WORK.as_secs_f64(),
             strange_work: FIRST_WORK.as_secs_f64() * FIRST_STRANGE,
@@ -202,7 +202,7 @@
             self.remove_server(&id);
         }
         for record in view.servers.values() {
-            self.set_server(now, record.clone());
+            self.set_server(record.clone());
         }
         self.mark_evacuated(now, &[]);
     }
@@ -213,7 +213,7 @@
             FleetChange::Site { site, .. } => self.set_specs(&site.services),
             FleetChange::Server(record) => {
                 let cold = record.cold;
-                self.set_server(now, record.clone());
+                self.set_server(record.clone());
                 self.set_cold(now, &record.id, cold);
             }
             FleetChange::ServerGone(id) => self.remove_server(id),
@@ -255,15 +255,15 @@
     }
 
     /// Counts a request of a client to a service.
-    pub fn note_request(&mut self, now: Instant, service: &str) {
+    pub fn note_request(&mut self, service: &str) {
         let hosts = self.hosts();
         let (ratio, slack) = (self.settings.retry_ratio, self.settings.retry_slack);
-        self.group(now, service).budget.deposit(ratio, slack, hosts);
+        self.group(service).budget.deposit(ratio, slack, hosts);
     }
 
     /// Takes a second attempt out of the budget of a service, where it holds one.
-    pub fn try_retry(&mut self, now: Instant, service: &str) -> bool {
-        self.group(now, service).budget.try_withdraw()
+    pub fn try_retry(&mut self, service: &str) -> bool {
+        self.group(service).budget.try_withdraw()
     }
 
     /// Returns the time that a request to a service usually needs.
@@ -336,9 +336,9 @@
         group.strange_work = group.strange_work.max(group.work);
     }
 
-    fn group(&mut self, now: Instant, service: &str) -> &mut ServiceGroup {
+    fn group(&mut self, service: &str) -> &mut ServiceGroup {
         let group = self.groups.entry(service.to_string());
-        group.or_insert_with(|| ServiceGroup::new(now))
+        group.or_insert_with(ServiceGroup::new)
     }
 
     fn set_specs(&mut self, specs: &[ServiceSpec]) {
@@ -346,7 +346,7 @@
         self.specs = specs.collect();
     }
 
-    fn set_server(&mut self, now: Instant, record: ServerRecord) {
+    fn set_server(&mut self, record: ServerRecord) {
         let known = self.keys.get(&record.id).copied();
         if let Some(server) = known.and_then(|key| self.servers.get_mut(key)) {
             let same_life = server.record.born == record.born
@@ -364,7 +364,7 @@
         server.evacuated = self.evacuated.contains(&server.record.zone);
         let key = self.servers.insert(server);
         self.keys.insert(id, key);
-        self.group(now, &service).servers.push(key);
+        self.group(&service).servers.push(key);
         self.set_owner(key);
     }
 
@@ -524,18 +524,15 @@
             fitting.min_by(|a, b| a.cost.total_cmp(&b.cost)).copied()
         };
         let (near, far) = (cheapest(true), cheapest(false));
-        let has_local = costs.iter().any(|cost| cost.local);
         let full = !costs.iter().any(|cost| cost.local && cost.room);
         let max_shift = self.settings.max_shift;
         let again = !query.tried.is_empty();
-        let spill = &mut self.group(now, query.service).spill;
         if again {
             return near.or(far);
         }
-        if !has_local {
-            spill.set(now, 1.0);
-            return far;
-        }
+        let (capacity, fair_share) = self.capacity(now, query.service);
+        let spill = &mut self.group(query.service).spill;
+        spill.note_capacity(now, capacity, fair_share);
         let leaves = spill.decide(now, query.object, full, max_shift);
         match (near, far) {
             (_, Some(far)) if leaves && far.room => Some(far),
@@ -543,6 +540,29 @@
         }
     }
 
+    /// Returns the slots of this region that may be used, and the share of its requests that would
+    /// leave it if all zones asked for the same.
+    fn capacity(&self, now: Instant, service: &str) -> (f64, f64) {
+        let keys = self.groups.get(service).map(|group| &group.servers);
+        let (mut local, mut all) = (0.0, 0.0);
+        for key in keys.into_iter().flatten() {
+            let server = &self.servers[*key];
+            if !server.takes_work() || server.is_ejected(now) {
+                continue;
+            }
+            let slots = f64::from(server.record.slots);
+            all += slots;
+            if server.region == self.region {
+                local += slots;
+            }
+        }
+        let zones = &self.settings.regions;
+        let own = zones.values().filter(|region| **region == self.region).count();
+        let demand = own as f64 / zones.len().max(1) as f64;
+        let fair = if all > 0.0 { local / (all * demand) } else { 1.0 };
+        (local, (1.0 - fair).clamp(0.0, 1.0))
+    }
+
     /// Returns the longest time, in seconds, that a request may be expected to need: what is
     /// wanted, but never less than a request needs that finds a free slot.
     fn time_limit(&self, query: &ServerQuery<'_>) -> f64 {
--- a/crates/balance/src/spill.rs
+++ b/crates/balance/src/spill.rs
@@ -1,36 +1,56 @@
 //! The share of a region's requests that runs in other regions.
 //!
-//! The share follows the wish for it, at a bounded pace: moving traffic quickly makes caches cold
-//! and regions oscillate.
+//! The share rises while the region is full and falls while it has room, at a bounded pace:
+//! moving traffic quickly makes caches cold and regions oscillate. After a change of the region's
+//! own capacity it may move faster, as its traffic has to go somewhere.
 
 use std::time::{Duration, Instant};
 
 use crate::settings::SHIFT_WINDOW;
 
 /// Part of the permitted shift that is used, as each host sees only its own requests.
-const SHIFT_USED: f64 = 0.6;
+const SHIFT_USED: f64 = 0.7;
 
-/// Time over which the wish is averaged.
-const WISH_MEMORY: Duration = Duration::from_millis(1_000);
+/// Time over which fullness is averaged.
+const FULL_MEMORY: Duration = Duration::from_millis(600);
+
+/// Share of the requests that may find the region full before more of them leave.
+const FULL_TARGET: f64 = 0.08;
+
+/// Fullness beyond the target at which the share moves at its full pace.
+const FULL_RANGE: f64 = 0.25;
+
+/// Factor by which the pace rises after a change of capacity.
+const CHANGED_FACTOR: f64 = 6.0;
+
+/// Time for which it does.
+const CHANGED_PERIOD: Duration = Duration::from_secs(3);
+
+/// Change of capacity, as a part of it, from which the pace rises.
+const CHANGED_PART: f64 = 0.1;
 
 /// Share of the requests for one service that leaves this host's region.
 #[derive(Debug, Clone)]
 pub struct RegionSpill {
     share: f64,
-    wish: f64,
-    /// Parts of requests that are due to leave.
+    full: f64,
+    /// Parts of requests without an object that are due to leave.
     credit: f64,
-    moved_at: Instant,
+    moved_at: Option<Instant>,
+    capacity: f64,
+    changed_at: Option<Instant>,
 }
 
 impl RegionSpill {
-    /// Creates a share of nothing.
-    pub fn new(now: Instant) -> Self {
+    /// Creates a share that is set by the first request.
+    pub fn new() -> Self {
         Self {
             share: 0.0,
-            wish: 0.0,
+            full: 0.0,
             credit: 0.0,
-            moved_at: now,
+            moved_at: None,
+            capacity: 0.0,
+            changed_at: None,
         }
     }
 
@@ -39,6 +59,23 @@
         self.share
     }
 
+    /// Notes the slots of the region that may be used, and what share would leave if all zones
+    /// asked for the same; the first request starts with that.
+    pub fn note_capacity(&mut self, now: Instant, capacity: f64, fair_share: f64) {
+        if self.moved_at.is_none() {
+            self.share = fair_share;
+            self.capacity = capacity;
+            self.moved_at = Some(now);
+        }
+        if capacity == 0.0 {
+            self.share = 1.0;
+        }
+        if (capacity - self.capacity).abs() > self.capacity * CHANGED_PART {
+            self.capacity = capacity;
+            self.changed_at = Some(now);
+        }
+    }
+
     /// Notes a request and whether its own region is full, and tells whether it is one that
     /// leaves. Requests for the same object leave together, so that it is warm in one region only.
     pub fn decide(
@@ -48,15 +85,7 @@
         full: bool,
         max_shift: f64,
     ) -> bool {
-        let passed = now.saturating_duration_since(self.moved_at).as_secs_f64();
-        self.moved_at = now;
-        let weight = 1.0 - (-passed / WISH_MEMORY.as_secs_f64()).exp();
-        // A full region wishes for more than now, a region with room for less.
-        let wanted = if full { 1.0 } else { 0.0 };
-        self.wish += (wanted - self.wish) * weight;
-        let pace = max_shift * SHIFT_USED / SHIFT_WINDOW.as_secs_f64();
-        let step = pace * passed.min(1.0);
-        self.share += (self.wish - self.share).clamp(-step, step);
+        self.move_share(now, full, max_shift);
         if let Some(object) = object {
             // Another part of the digest than the one that ranks backend servers.
             let place = (object.rotate_left(32) >> 11) as f64 / (1_u64 << 53) as f64;
@@ -70,11 +99,25 @@
         false
     }
 
-    /// Sets the share at once, for a region that has no backend server left.
-    pub fn set(&mut self, now: Instant, share: f64) {
-        self.share = share;
-        self.wish = share;
-        self.credit = 0.0;
-        self.moved_at = now;
+    fn move_share(&mut self, now: Instant, full: bool, max_shift: f64) {
+        let moved_at = self.moved_at.replace(now).unwrap_or(now);
+        let passed = now.saturating_duration_since(moved_at).as_secs_f64();
+        let weight = 1.0 - (-passed / FULL_MEMORY.as_secs_f64()).exp();
+        let seen = if full { 1.0 } else { 0.0 };
+        self.full += (seen - self.full) * weight;
+        let changed = self
+            .changed_at
+            .is_some_and(|changed_at| now < changed_at + CHANGED_PERIOD);
+        let factor = if changed { CHANGED_FACTOR } else { 1.0 };
+        let pace = factor * max_shift * SHIFT_USED / SHIFT_WINDOW.as_secs_f64();
+        let urge = ((self.full - FULL_TARGET) / FULL_RANGE).clamp(-1.0, 1.0);
+        let step = urge * pace * passed.min(1.0);
+        self.share = (self.share + step).clamp(0.0, 1.0);
+    }
+}
+
+impl Default for RegionSpill {
+    fn default() -> Self {
+        Self::new()
     }
 }
--- a/crates/director/src/daemon.rs
+++ b/crates/director/src/daemon.rs
@@ -23,8 +23,8 @@
 /// Pause between two looks while the process stops.
 const STOP_PAUSE: Duration = Duration::from_millis(20);
 
-/// Exit code after the disk failed; whoever supervises the process starts it anew.
-const DISK_FAILED_EXIT: i32 = 74;
+/// Pause before a folder whose disk failed is opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(250);
 
 quick_error! {
     /// Why a replica could not start.
@@ -56,6 +56,25 @@
 ///
 /// Fails where the folder or the address can't be used.
 pub fn start(settings: DirectorSettings) -> Result<DirectorHandle, DirectorError> {
+    let own = address::replica_at(settings.mesh);
+    let (queue, mut calls) = CoreQueue::new();
+    let mesh = MeshLinks::new(own);
+    let handle = DirectorHandle::new(own, queue.clone(), mesh.clone());
+    let (mut core, mut disk) = open(&settings, &queue)?;
+    MeshService::new(handle.clone()).serve(settings.mesh.into())?;
+    task::spawn(async move {
+        while run_core(core, &mut calls, disk, &mesh).await == CoreEnd::DiskFailed {
+            (core, disk) = reopen(&settings, &queue, &mut calls).await;
+        }
+    });
+    Ok(handle)
+}
+
+/// Opens the folder and creates the core and the disk's thread from it.
+fn open(
+    settings: &DirectorSettings,
+    queue: &CoreQueue,
+) -> Result<(DirectorCore, DiskWriter), DirectorError> {
     let own = address::replica_at(settings.mesh);
     let (store, recovered) = ReplicaStore::open(&settings.folder, own)?;
     log::info!(
@@ -66,7 +85,6 @@
         recovered.snapshot.index,
         recovered.entries.len()
     );
-    let (queue, calls) = CoreQueue::new();
     let reports = queue.clone();
     let disk = DiskWriter::start(store, move |report| {
         if let DiskReport::Failed(e) = &report {
@@ -74,13 +92,25 @@
         }
         reports.send_blocking(CoreCall::Disk(report));
     })?;
-    let mesh = MeshLinks::new(own);
-    let address = settings.mesh.into();
-    let core = DirectorCore::new(Instant::now(), settings, recovered)?;
-    let handle = DirectorHandle::new(own, queue, mesh.clone());
-    MeshService::new(handle.clone()).serve(address)?;
-    task::spawn(run_core(core, calls, disk, mesh));
-    Ok(handle)
+    let core = DirectorCore::new(Instant::now(), settings.clone(), recovered)?;
+    Ok((core, disk))
+}
+
+/// Opens the folder again and again until its disk works. What was asked meanwhile is not
+/// answered, and what the disk reported of before is dropped.
+async fn reopen(
+    settings: &DirectorSettings,
+    queue: &CoreQueue,
+    calls: &mut mpsc::Receiver<CoreCall>,
+) -> (DirectorCore, DiskWriter) {
+    loop {
+        task::sleep(REOPEN_PAUSE).await;
+        while calls.try_recv().is_ok() {}
+        match open(settings, queue) {
+            Ok(opened) => return opened,
+            Err(e) => log::warn!(target: "store", "folder not opened; error={e}"),
+        }
+    }
 }
 
 /// Hands the leadership over before a planned stop.
@@ -96,19 +126,28 @@
     }
 }
 
+/// Why a core runs no longer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CoreEnd {
+    /// Nobody can call it any more.
+    Stopped,
+    /// Its disk failed.
+    DiskFailed,
+}
+
 /// Feeds calls and time to the core, and does what it asks for.
 async fn run_core(
     mut core: DirectorCore,
-    mut calls: mpsc::Receiver<CoreCall>,
+    calls: &mut mpsc::Receiver<CoreCall>,
     disk: DiskWriter,
-    mesh: MeshLinks,
-) {
+    mesh: &MeshLinks,
+) -> CoreEnd {
     loop {
         let left = core.deadline().saturating_duration_since(Instant::now());
         let call = match calls.try_recv() {
             Ok(call) => Some(call),
             Err(_) => match future::timeout(left, calls.recv()).await {
-                Ok(None) => return,
+                Ok(None) => return CoreEnd::Stopped,
                 Ok(call) => call,
                 Err(_) => None,
             },
@@ -136,7 +175,7 @@
             }
         }
         if core.has_failed() {
-            std::process::exit(DISK_FAILED_EXIT);
+            return CoreEnd::DiskFailed;
         }
     }
 }
--- a/crates/director/src/directory.rs
+++ b/crates/director/src/directory.rs
@@ -9,7 +9,7 @@
 use crate::message::HostStatus;
 
 /// How long a client may keep an answer: short, as a host that stops leaves the answers first.
-pub const TTL: Duration = Duration::from_secs(2);
+pub const TTL: Duration = Duration::from_secs(1);
 
 /// Fewest hosts in an answer where there are as many: one may be lost without notice.
 const MIN_HOSTS: usize = 2;
--- a/crates/director/src/liveness.rs
+++ b/crates/director/src/liveness.rs
@@ -9,8 +9,8 @@
 
 use crate::message::{HeardHost, HeardReport, HeardServer, HostStatus};
 
-/// Silence after which an entry host is named no more; four missed calls.
-pub const HOST_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Silence after which an entry host is named no more; three missed calls.
+pub const HOST_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Time added to what a backend server says of its coldness, for the way of the news.
 const COLD_MARGIN: Duration = Duration::from_millis(200);
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -16,7 +16,7 @@
 use crate::state::GatewayState;
 
 /// Longest time that a control replica holds a call without news.
-const PATIENCE: Duration = Duration::from_millis(450);
+const PATIENCE: Duration = Duration::from_millis(350);
 
 /// Time beyond that in which a call must be answered.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -80,8 +80,7 @@
 
     /// Forwards a request until it is answered, refused or out of time.
     pub async fn forward(&self, request: &ForwardRequest) -> ForwardEnd {
-        let now = Instant::now();
-        self.sender.state.balancer().note_request(now, &request.service);
+        self.sender.state.balancer().note_request(&request.service);
         let mut progress = ForwardProgress::default();
         let mut running = FuturesUnordered::new();
         let Some(hedge_after) = self.start(request, &mut progress, &mut running) else {
@@ -222,8 +221,7 @@
         if reached >= request.route.max_attempts {
             return false;
         }
-        let now = Instant::now();
-        self.sender.state.balancer().try_retry(now, &request.service)
+        self.sender.state.balancer().try_retry(&request.service)
     }
 
     fn give_up(&self, request: &ForwardRequest, mut progress: ForwardProgress) -> ForwardEnd {
