feat(balance): one owner a region for an object, copies only on lightly loaded servers

Waiting time was also counted as a server's own pace, which made idle servers look slow. Change: a single owner by hash in the region and one beyond; another server takes an object only while half of its slots are free; pace and work are measured without waiting; a starved region raises its share within its pace.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -43,6 +43,16 @@
 /// drives another object out.
 const COPY_PENALTY: f64 = 0.5;
 
+/// Load up to which a backend server takes a request for an object that others have warm, as a part
+/// of its slots: a busy service must not spend its slots on copies.
+const COPY_LOAD: f64 = 0.5;
+
+/// Least part of a request's time that is taken as its own work.
+const LEAST_WORK: f64 = 0.3;
+
+/// Factor by which a request that finds a free slot may take longer than usual.
+const ALONE_SPREAD: f64 = 1.3;
+
 /// Load below which a backend server has room, as a part of its slots.
 const ROOM_LOAD: f64 = 0.85;
 
@@ -80,12 +90,43 @@
     pub key: ServerKey,
     /// What it announced.
     pub record: ServerRecord,
-    /// Whether the object was taken to be warm there.
-    pub warm: bool,
     /// Load that it was taken to have.
     pub load: f64,
-    /// Time that the request was taken to need.
-    pub expected: Duration,
+    /// What was expected of the request.
+    pub forecast: TimeForecast,
+}
+
+/// Time that a request was taken to need at a backend server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TimeForecast {
+    /// Whether its object was taken to be warm.
+    pub warm: bool,
+    /// Seconds behind other requests.
+    pub wait: f64,
+    /// Seconds of its own, at the usual pace.
+    pub own: f64,
+    /// Seconds on the way.
+    pub round: f64,
+    /// The backend server's pace, as a multiple of the usual time.
+    pub pace: f64,
+}
+
+impl TimeForecast {
+    /// Returns the seconds until the answer.
+    pub fn seconds(&self) -> f64 {
+        (self.own + self.wait) * self.pace + self.round
+    }
+
+    /// Returns the seconds until the answer where the request finds a free slot and is among the
+    /// slower ones.
+    fn alone(&self) -> f64 {
+        self.own * self.pace * ALONE_SPREAD + self.round
+    }
+
+    /// Returns the time until the answer.
+    pub fn expected(&self) -> Duration {
+        Duration::from_secs_f64(self.seconds())
+    }
 }
 
 /// Why there is no backend server for a request.
@@ -116,6 +157,21 @@
     work: f64,
     /// Seconds of one for an object that is not.
     strange_work: f64,
+    /// Seconds of one, warm or not.
+    mean_work: f64,
+}
+
+impl ServiceGroup {
+    fn note_work(&mut self, work: f64, warm: bool) {
+        let usual = if warm {
+            &mut self.work
+        } else {
+            &mut self.strange_work
+        };
+        *usual += (work - *usual) * WORK_WEIGHT;
+        self.strange_work = self.strange_work.max(self.work);
+        self.mean_work += (work - self.mean_work) * WORK_WEIGHT;
+    }
 }
 
 /// How an attempt ended.
@@ -129,8 +185,8 @@
     pub load: Option<ReportedLoad>,
     /// Object that it was about.
     pub object: Option<u64>,
-    /// Whether the object was taken to be warm.
-    pub warm: bool,
+    /// What was expected of it.
+    pub forecast: TimeForecast,
 }
 
 impl ServiceGroup {
@@ -141,6 +197,7 @@
             budget: AttemptBudget::new(),
             work: FIRST_WORK.as_secs_f64(),
             strange_work: FIRST_WORK.as_secs_f64() * FIRST_STRANGE,
+            mean_work: FIRST_WORK.as_secs_f64() * FIRST_STRANGE,
         }
     }
 }
@@ -165,9 +222,7 @@
     key: ServerKey,
     /// Seconds, preferences included.
     cost: f64,
-    /// Seconds until the answer.
-    expected: f64,
-    warm: bool,
+    forecast: TimeForecast,
     local: bool,
     room: bool,
     cold: bool,
@@ -295,9 +350,8 @@
         Ok(ChosenServer {
             key: best.key,
             record: server.record.clone(),
-            warm: best.warm,
             load,
-            expected: Duration::from_secs_f64(best.expected),
+            forecast: best.forecast,
         })
     }
 
@@ -307,22 +361,18 @@
             return;
         };
         server.end(now, report.end, report.load);
-        let far = server.region != self.region;
-        let round = if far { FAR_ROUND } else { NEAR_ROUND };
-        let work = report.took.saturating_sub(round).as_secs_f64();
         let Some(group) = self.groups.get_mut(&server.record.service) else {
             return;
         };
-        let usual = if report.warm {
-            &mut group.work
-        } else {
-            &mut group.strange_work
-        };
-        let ratio = work / usual.max(0.001);
+        let forecast = report.forecast;
+        let took = (report.took.as_secs_f64() - forecast.round).max(0.0);
+        let ratio = took / (forecast.own + forecast.wait).max(0.001);
         match report.end {
             AttemptEnd::Answered => {
                 server.note_pace(now, ratio);
-                *usual += (work - *usual) * WORK_WEIGHT;
+                // What others made it wait is no work of its own.
+                let work = (took - forecast.wait).max(took * LEAST_WORK);
+                group.note_work(work, forecast.warm);
                 if let Some(object) = report.object {
                     server.note_warm(object);
                 }
@@ -333,7 +383,6 @@
             }
             _ => {}
         }
-        group.strange_work = group.strange_work.max(group.work);
     }
 
     fn group(&mut self, service: &str) -> &mut ServiceGroup {
@@ -440,32 +489,30 @@
         let owners = query.object.map(|object| {
             [true, false].map(|local| self.object_owner(object, local, &candidates))
         });
-        let weigh = |key| {
+        let costs = candidates.into_iter().filter_map(|key| {
             let owns = owners.is_none_or(|owners| owners.contains(&Some(key)));
             self.weigh(now, query, group, owns, key)
-        };
-        candidates.into_iter().map(weigh).collect()
+        });
+        costs.collect()
     }
 
     /// Returns the backend server of this region, or of the others, that requests for an object
-    /// go to, all else equal: the first by hash, with those of this host's zone before others.
+    /// go to, all else equal: the first by hash. The fewer objects a backend server has to keep
+    /// warm, the more of them stay so.
     fn object_owner(
         &self,
         object: u64,
         local: bool,
         candidates: &[ServerKey],
     ) -> Option<ServerKey> {
-        let candidates = candidates.iter().filter(|key| {
-            let server = &self.servers[**key];
+        let candidates = candidates.iter().copied().filter(|key| {
+            let server = &self.servers[*key];
             (server.region == self.region) == local
         });
-        let near = |key: &ServerKey| self.servers[*key].record.zone == self.settings.zone;
-        candidates
-            .max_by_key(|key| {
-                let id = self.servers[**key].record.id.as_bytes();
-                (near(key), xxh3::xxh3_64_with_seed(id, object))
-            })
-            .copied()
+        candidates.max_by_key(|key| {
+            let id = self.servers[*key].record.id.as_bytes();
+            xxh3::xxh3_64_with_seed(id, object)
+        })
     }
 
     fn weigh(
@@ -475,7 +522,7 @@
         group: &ServiceGroup,
         owns: bool,
         key: ServerKey,
-    ) -> ServerCost {
+    ) -> Option<ServerCost> {
         let server = &self.servers[key];
         let local = server.region == self.region;
         let slots = f64::from(server.record.slots.max(1));
@@ -484,27 +531,33 @@
         let cold = server.is_cold(now);
         let warm = query.object.is_none_or(|object| server.is_warm(object));
         let round = if local { NEAR_ROUND } else { FAR_ROUND };
-        let pace = server.pace(now);
         let own = if warm { group.work } else { group.strange_work };
-        let wait = group.work * queued / slots;
-        let expected = (own + wait) * pace + round.as_secs_f64();
-        let mut cost = expected + group.work * 0.2 * load / slots;
+        let forecast = TimeForecast {
+            warm,
+            wait: group.mean_work * queued / slots,
+            own,
+            round: round.as_secs_f64(),
+            pace: server.pace(now),
+        };
+        let mut cost = forecast.seconds() + group.work * 0.2 * load / slots;
         if server.record.zone != self.settings.zone {
             cost += ZONE_PENALTY.as_secs_f64();
         }
         if !warm && !owns {
+            if load + 1.0 > slots * COPY_LOAD && load > 0.0 {
+                return None;
+            }
             cost += group.strange_work * COPY_PENALTY;
         }
         cost += group.work * 2.0 * server.failures();
-        ServerCost {
+        Some(ServerCost {
             key,
             cost,
-            expected,
-            warm,
+            forecast,
             local,
             room: load + 1.0 <= slots * ROOM_LOAD || load < 1.0,
             cold,
-        }
+        })
     }
 
     /// Returns the best of the weighed backend servers that can answer in time.
@@ -514,10 +567,10 @@
         query: &ServerQuery<'_>,
         costs: &[ServerCost],
     ) -> Option<ServerCost> {
-        let limit = self.time_limit(query);
+        let (wanted, left) = (query.wanted.as_secs_f64(), query.left.as_secs_f64());
         let fits = |cost: &&ServerCost| {
-            let free = cost.expected <= limit;
-            free && cost.expected <= query.left.as_secs_f64().max(0.001)
+            let forecast = cost.forecast;
+            forecast.seconds() <= wanted.max(forecast.alone()).min(left)
         };
         let cheapest = |local: bool| {
             let fitting = costs.iter().filter(fits).filter(|cost| cost.local == local);
@@ -535,7 +588,8 @@
         spill.note_capacity(now, capacity, fair_share);
         let leaves = spill.decide(now, query.object, full, max_shift);
         match (near, far) {
-            (_, Some(far)) if leaves && far.room => Some(far),
+            (None, Some(far)) if leaves || spill.starve(query.object) => Some(far),
+            (Some(_), Some(far)) if leaves && far.room => Some(far),
             (near, _) => near,
         }
     }
@@ -563,17 +617,9 @@
         (local, (1.0 - fair).clamp(0.0, 1.0))
     }
 
-    /// Returns the longest time, in seconds, that a request may be expected to need: what is
-    /// wanted, but never less than a request needs that finds a free slot.
-    fn time_limit(&self, query: &ServerQuery<'_>) -> f64 {
-        let group = self.groups.get(query.service);
-        let work = group.map_or(FIRST_WORK.as_secs_f64(), |group| group.strange_work);
-        let alone = work * 1.3 + FAR_ROUND.as_secs_f64();
-        query.wanted.as_secs_f64().max(alone)
-    }
-
     fn refusal(&self, query: &ServerQuery<'_>, costs: &[ServerCost]) -> LoadRefusal {
-        let soonest = costs.iter().map(|cost| cost.expected).min_by(f64::total_cmp);
+        let soonest = costs.iter().map(|cost| cost.forecast.seconds());
+        let soonest = soonest.min_by(f64::total_cmp);
         let Some(soonest) = soonest else {
             let come_back = self.usual_time(query.service).max(MIN_COME_BACK * 4);
             return LoadRefusal {
--- a/crates/balance/src/spill.rs
+++ b/crates/balance/src/spill.rs
@@ -29,11 +29,19 @@
 /// Change of capacity, as a part of it, from which the pace rises.
 const CHANGED_PART: f64 = 0.1;
 
+/// How far the share may move at once.
+const MAX_MOVES: f64 = 0.04;
+
+/// Rise of the share for one request that its region can't take.
+const STARVED_STEP: f64 = 0.005;
+
 /// Share of the requests for one service that leaves this host's region.
 #[derive(Debug, Clone)]
 pub struct RegionSpill {
     share: f64,
     full: f64,
+    /// How far the share may move now.
+    moves: f64,
     /// Parts of requests without an object that are due to leave.
     credit: f64,
     moved_at: Option<Instant>,
@@ -47,6 +55,7 @@
         Self {
             share: 0.0,
             full: 0.0,
+            moves: 0.0,
             credit: 0.0,
             moved_at: None,
             capacity: 0.0,
@@ -87,9 +96,7 @@
     ) -> bool {
         self.move_share(now, full, max_shift);
         if let Some(object) = object {
-            // Another part of the digest than the one that ranks backend servers.
-            let place = (object.rotate_left(32) >> 11) as f64 / (1_u64 << 53) as f64;
-            return place < self.share;
+            return place_of(object) < self.share;
         }
         self.credit = (self.credit + self.share).min(2.0);
         if self.credit >= 1.0 {
@@ -99,6 +106,17 @@
         false
     }
 
+    /// Raises the share for a request that the region can't take and others can, as far as the
+    /// pace permits, and tells whether that request leaves by it.
+    pub fn starve(&mut self, object: Option<u64>) -> bool {
+        if self.moves < STARVED_STEP {
+            return false;
+        }
+        self.moves -= STARVED_STEP;
+        self.share = (self.share + STARVED_STEP).min(1.0);
+        object.is_none_or(|object| place_of(object) < self.share)
+    }
+
     fn move_share(&mut self, now: Instant, full: bool, max_shift: f64) {
         let moved_at = self.moved_at.replace(now).unwrap_or(now);
         let passed = now.saturating_duration_since(moved_at).as_secs_f64();
@@ -110,12 +128,21 @@
             .is_some_and(|changed_at| now < changed_at + CHANGED_PERIOD);
         let factor = if changed { CHANGED_FACTOR } else { 1.0 };
         let pace = factor * max_shift * SHIFT_USED / SHIFT_WINDOW.as_secs_f64();
+        self.moves = (self.moves + pace * passed).min(MAX_MOVES);
         let urge = ((self.full - FULL_TARGET) / FULL_RANGE).clamp(-1.0, 1.0);
-        let step = urge * pace * passed.min(1.0);
+        let most = self.moves;
+        let step = (urge * pace * passed.min(1.0)).clamp(-most, most);
+        self.moves -= step.abs();
         self.share = (self.share + step).clamp(0.0, 1.0);
     }
 }
 
+/// Returns the place of an object between 0 and 1, by another part of its digest than the one
+/// that ranks backend servers.
+fn place_of(object: u64) -> f64 {
+    (object.rotate_left(32) >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 impl Default for RegionSpill {
     fn default() -> Self {
         Self::new()
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use balance::balancer::{AttemptReport, ChosenServer, ServerKey};
+use balance::balancer::{AttemptReport, ChosenServer, ServerKey, TimeForecast};
 use balance::server::{AttemptEnd, ReportedLoad};
 use bytes::Bytes;
 use http::header::{HeaderMap, CONNECTION, CONTENT_ENCODING, HOST};
@@ -47,7 +47,7 @@
     state: Arc<GatewayState>,
     key: ServerKey,
     object: Option<u64>,
-    warm: bool,
+    forecast: TimeForecast,
     began_at: Instant,
     open: bool,
 }
@@ -59,7 +59,7 @@
             state,
             key: chosen.key,
             object,
-            warm: chosen.warm,
+            forecast: chosen.forecast,
             began_at: Instant::now(),
             open: true,
         }
@@ -73,7 +73,7 @@
                 took: now.saturating_duration_since(self.began_at),
                 load,
                 object: self.object,
-                warm: self.warm,
+                forecast: self.forecast,
             };
             self.state.balancer().finish(now, self.key, report);
         }
@@ -118,8 +118,8 @@
             request.service,
             request.object.unwrap_or_default(),
             chosen.load,
-            chosen.warm,
-            chosen.expected.as_millis(),
+            chosen.forecast.warm,
+            chosen.forecast.expected().as_millis(),
             began_at.elapsed().as_millis(),
         );
         result
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -158,7 +158,7 @@
             }
         };
         let key = chosen.key;
-        let hedge_after = chosen.expected.mul_f64(HEDGE_FACTOR).max(MIN_HEDGE);
+        let hedge_after = chosen.forecast.expected().mul_f64(HEDGE_FACTOR).max(MIN_HEDGE);
         progress.tried.push(key);
         let guard = LoadGuard::new(Arc::clone(state), &chosen, request.object);
         let attempt = async move {
