--- a/crates/quorum/tests/explorer.rs
+++ b/crates/quorum/tests/explorer.rs
@@ -11,7 +11,8 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use support::explorer::explore;
+use support::explorer::{explore, explore_members};
+use support::world::Checked;
 
 const SCHEDULES: u64 = 10_000;
 const STEPS: usize = 400;
@@ -19,6 +20,15 @@
 
 #[test]
 fn committed_entries_hold_over_ten_thousand_schedules() {
+    run_all(|seed| explore(seed, STEPS, None));
+}
+
+#[test]
+fn committed_entries_hold_while_replicas_join_and_are_replaced() {
+    run_all(|seed| explore_members(seed, STEPS, None));
+}
+
+fn run_all(explore: impl Fn(u64) -> Checked + Sync) {
     let first = std::env::var("EXPLORER_SEED").map_or(0, |seed| seed.parse().unwrap());
     let next = AtomicU64::new(first);
     let broken = std::sync::Mutex::new(Vec::new());
@@ -29,7 +39,7 @@
                 if seed >= first + SCHEDULES {
                     break;
                 }
-                if let Err(error) = explore(seed, STEPS, None) {
+                if let Err(error) = explore(seed) {
                     broken.lock().unwrap().push((seed, error));
                 }
             });
--- a/crates/quorum/tests/support/explorer.rs
+++ b/crates/quorum/tests/support/explorer.rs
@@ -76,6 +76,31 @@
     world.converge()
 }
 
+/// Runs one schedule in which three replicas form, others join, and voters are replaced by
+/// those that wait.
+pub fn explore_members(seed: u64, steps: usize, fault: Option<PlantedFault>) -> Checked {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut world = TestWorld::new(7, seed ^ 0x6e0b, fault);
+    world.growth = Some((3, 5));
+    let odds = FaultOdds::draw(&mut random);
+    for id in 1..=5 {
+        world.start(id);
+    }
+    world.run_for(Duration::from_secs(3))?;
+    world.formed = true;
+    world.odds.drop = random.random_range(0.0..0.15);
+    world.odds.duplicate = random.random_range(0.0..0.2);
+    world.odds.delay = random.random_range(0.0..0.1);
+    world.odds.late = Duration::from_millis(random.random_range(50..2000));
+    world.odds.sync = Duration::from_millis(random.random_range(0..80));
+    for step in 0..steps {
+        world.step()?;
+        disturb(&mut world, &odds, &mut random)?;
+        ask(&mut world, step, &mut random)?;
+    }
+    world.converge()
+}
+
 /// Asks for a read or a proposal now and then, mostly of a leader.
 fn ask(world: &mut TestWorld, step: usize, random: &mut SmallRng) -> Checked {
     if !random.random_bool(0.2) {
--- a/crates/quorum/tests/support/world.rs
+++ b/crates/quorum/tests/support/world.rs
@@ -54,6 +54,10 @@
     pub random: SmallRng,
     pub blocked: BTreeSet<(ids::ReplicaId, ids::ReplicaId)>,
     pub outcomes: BTreeMap<ids::RequestId, AnswerOutcome>,
+    /// Replicas of the first set-up and number of voters, where the others join later.
+    pub growth: Option<(u64, usize)>,
+    /// Whether the first set-up is over, so that a blank replica is one that joins.
+    pub formed: bool,
     fault: Option<PlantedFault>,
     network: BTreeMap<(Instant, u64), (ids::ReplicaId, ids::ReplicaId, Message)>,
     requests: BTreeMap<ids::RequestId, OpenRequest>,
@@ -82,6 +86,8 @@
             random: SmallRng::seed_from_u64(seed),
             blocked: BTreeSet::new(),
             outcomes: BTreeMap::new(),
+            growth: None,
+            formed: false,
             fault,
             network: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -129,6 +135,11 @@
 
     pub fn start(&mut self, id: ids::ReplicaId) {
         let mut config = QuorumConfig::new(id, self.ids());
+        if let Some((founders, voters)) = self.growth {
+            config.replicas.retain(|replica| *replica <= founders);
+            config.voters = voters;
+            config.may_found = id <= founders && !self.formed;
+        }
         config.seed = self.random.random();
         let batch = self.random.random_range(1..=4);
         config.batch = self.batch.unwrap_or(batch);
@@ -199,11 +210,32 @@
 
     /// Returns whether losing one disk leaves all others admitted and with their disks.
     pub fn may_lose_disk(&self, id: ids::ReplicaId) -> bool {
+        if self.growth.is_some() {
+            return self.formed && self.may_lose_voter(id);
+        }
         let others = self.nodes.iter().filter(|(other, _)| **other != id);
         let mut members = others.map(|(_, node)| node.disk.durable.hard.member);
         members.all(std::convert::identity)
     }
 
+    /// Returns whether all voters but one would be left with their disks, by what stands on any
+    /// disk and in any memory.
+    fn may_lose_voter(&self, id: ids::ReplicaId) -> bool {
+        let mut voters = BTreeSet::new();
+        for node in self.nodes.values() {
+            let durable = &node.disk.durable;
+            let mut members: BTreeMap<_, _> = durable.snapshot.admitted.iter().copied().collect();
+            for entry in &durable.entries {
+                entry.payload.change_members(&mut members);
+            }
+            voters.extend(members.into_keys());
+            voters.extend(node.machine.iter().flat_map(QuorumMachine::voters));
+        }
+        voters.remove(&id);
+        let mut voters = voters.iter();
+        voters.all(|voter| self.nodes[voter].disk.durable.hard.member)
+    }
+
     pub fn cut(&mut self, id: ids::ReplicaId) {
         for other in self.ids() {
             self.blocked.insert((id, other));
@@ -529,6 +561,12 @@
     }
 
     fn all_applied(&self, index: ids::LogIndex) -> bool {
+        if let Some((_, voters)) = self.growth {
+            let applied = self.nodes.values().map(|node| node.application.applied);
+            let machines = self.nodes.values().filter_map(|node| node.machine.as_ref());
+            let mut counts = machines.map(|machine| machine.voters().count());
+            return applied.min() >= Some(index) && counts.all(|count| count == voters);
+        }
         let members = self.nodes.values().map(|node| {
             node.machine
                 .as_ref()
