--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -140,12 +140,18 @@
 }
 
 /// A refusal before anything was sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadRefusal {
     /// Why.
     pub cause: RefusalCause,
     /// When room is expected.
     pub come_back: Duration,
+    /// Backend servers that might have been used.
+    pub candidates: usize,
+    /// Time until the answer of the soonest of them; zero where there is none.
+    pub soonest: Duration,
+    /// Share of the requests for the service that leaves the region.
+    pub spill: f64,
 }
 
 #[derive(Debug)]
@@ -643,17 +649,23 @@
     fn refusal(&self, query: &ServerQuery<'_>, costs: &[ServerCost]) -> LoadRefusal {
         let soonest = costs.iter().map(|cost| cost.forecast.seconds());
         let soonest = soonest.min_by(f64::total_cmp);
-        let Some(soonest) = soonest else {
-            let come_back = self.usual_time(query.service).max(MIN_COME_BACK * 4);
-            return LoadRefusal {
-                cause: RefusalCause::NoServer,
-                come_back,
-            };
+        let (cause, come_back) = match soonest {
+            None => {
+                let usual = self.usual_time(query.service);
+                (RefusalCause::NoServer, usual.max(MIN_COME_BACK * 4))
+            }
+            Some(soonest) => {
+                let over = (soonest - query.wanted.as_secs_f64()).max(0.0);
+                let over = Duration::from_secs_f64(over);
+                (RefusalCause::Full, over.max(MIN_COME_BACK))
+            }
         };
-        let over = (soonest - query.wanted.as_secs_f64()).max(0.0);
         LoadRefusal {
-            cause: RefusalCause::Full,
-            come_back: Duration::from_secs_f64(over).max(MIN_COME_BACK),
+            cause,
+            come_back,
+            candidates: costs.len(),
+            soonest: Duration::from_secs_f64(soonest.unwrap_or_default()),
+            spill: self.spill_share(query.service),
         }
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,9 +1,10 @@
 //! One sending to one backend server.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use balance::balancer::{AttemptReport, ChosenServer, ServerKey, TimeForecast};
+use balance::balancer::{AttemptReport, ChosenServer};
 use balance::server::{AttemptEnd, ReportedLoad};
 use bytes::Bytes;
 use http::header::{HeaderMap, CONNECTION, CONTENT_ENCODING, HOST};
@@ -33,6 +34,8 @@
         end: AttemptEnd,
         /// Whether the request reached a backend server.
         arrived: bool,
+        /// What happened, for the log.
+        what: String,
     },
     /// The request may have run, and there is no answer.
     MayHaveRun {
@@ -41,48 +44,74 @@
     },
 }
 
-/// Counts a request towards a backend server's load until it ends.
+/// Counts a request towards a backend server's load until it ends, and logs its end.
 #[derive(Debug)]
 pub struct LoadGuard {
     state: Arc<GatewayState>,
-    key: ServerKey,
+    chosen: ChosenServer,
+    request_id: String,
     object: Option<u64>,
-    forecast: TimeForecast,
     began_at: Instant,
+    /// Whether the connection had carried another request; none before there is one.
+    reused: Option<bool>,
     open: bool,
 }
 
 impl LoadGuard {
     /// Begins to count.
-    pub fn new(state: Arc<GatewayState>, chosen: &ChosenServer, object: Option<u64>) -> Self {
+    pub fn new(state: Arc<GatewayState>, chosen: ChosenServer, request: &ForwardRequest) -> Self {
         Self {
             state,
-            key: chosen.key,
-            object,
-            forecast: chosen.forecast,
+            chosen,
+            request_id: request.id.clone(),
+            object: request.object,
             began_at: Instant::now(),
+            reused: None,
             open: true,
         }
     }
 
-    fn finish(&mut self, end: AttemptEnd, load: Option<ReportedLoad>) {
-        if std::mem::take(&mut self.open) {
-            let now = Instant::now();
-            let report = AttemptReport {
-                end,
-                took: now.saturating_duration_since(self.began_at),
-                load,
-                object: self.object,
-                forecast: self.forecast,
-            };
-            self.state.balancer().finish(now, self.key, report);
+    fn finish(&mut self, end: AttemptEnd, load: Option<ReportedLoad>, what: &str) {
+        if !std::mem::take(&mut self.open) {
+            return;
         }
+        let now = Instant::now();
+        let took = now.saturating_duration_since(self.began_at);
+        let chosen = &self.chosen;
+        let report = AttemptReport {
+            end,
+            took,
+            load,
+            object: self.object,
+            forecast: chosen.forecast,
+        };
+        self.state.balancer().finish(now, chosen.key, report);
+        let reported = load.map_or(-1, |load| i64::from(load.running + load.waiting));
+        log::info!(
+            target: "attempt",
+            "attempt ended; request={} server={} service={} address={} object={:x} load={:.1} warm={} \
+             expected_ms={} reported={reported} reused={} end={end} took_ms={} what={what}",
+            self.request_id,
+            chosen.record.id,
+            chosen.record.service,
+            chosen.record.address,
+            self.object.unwrap_or_default(),
+            chosen.load,
+            chosen.forecast.warm,
+            chosen.forecast.expected().as_millis(),
+            self.reused.map_or("none", |reused| if reused { "yes" } else { "no" }),
+            took.as_millis(),
+        );
     }
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
-        self.finish(AttemptEnd::Dropped, None);
+        self.finish(
+            AttemptEnd::Dropped,
+            None,
+            "deadline, client gone or another was faster",
+        );
     }
 }
 
@@ -100,37 +129,22 @@
 impl ServerSender {
     /// Sends a request to the backend server that was chosen for it. Dropping the future closes
     /// the connection, at which the backend server drops the request.
-    pub async fn send(
-        &self,
-        request: &ForwardRequest,
-        chosen: &ChosenServer,
-        mut guard: LoadGuard,
-    ) -> AttemptResult {
-        let began_at = Instant::now();
-        let (result, end, load) = self.exchange(request, chosen).await;
-        guard.finish(end, load);
-        let reported = load.map_or(-1, |load| i64::from(load.running + load.waiting));
-        log::info!(
-            target: "attempt",
-            "attempt ended; request={} server={} service={} object={:x} load={:.1} warm={} expected_ms={} reported={reported} end={end} took_ms={}",
-            request.id,
-            chosen.record.id,
-            request.service,
-            request.object.unwrap_or_default(),
-            chosen.load,
-            chosen.forecast.warm,
-            chosen.forecast.expected().as_millis(),
-            began_at.elapsed().as_millis(),
-        );
+    pub async fn send(&self, request: &ForwardRequest, mut guard: LoadGuard) -> AttemptResult {
+        let (result, end, load) = self.exchange(request, &mut guard).await;
+        let what = match &result {
+            AttemptResult::MayHaveRun { what } | AttemptResult::NotRun { what, .. } => what,
+            AttemptResult::Answer(_) => "",
+        };
+        guard.finish(end, load, what);
         result
     }
 
     async fn exchange(
         &self,
         request: &ForwardRequest,
-        chosen: &ChosenServer,
+        guard: &mut LoadGuard,
     ) -> (AttemptResult, AttemptEnd, Option<ReportedLoad>) {
-        let address = chosen.record.address;
+        let address = guard.chosen.record.address;
         let longest_idle = if request.is_safe() {
             Duration::MAX
         } else {
@@ -138,23 +152,23 @@
         };
         let mut connection = match self.pool.take(address, longest_idle).await {
             Ok(connection) => connection,
-            Err(e) => {
-                log::debug!(target: "attempt", "no connection; request={} server={} error={e}", request.id, chosen.record.id);
-                return not_run(AttemptEnd::Unreachable, false, None);
-            }
+            Err(e) => return not_run(AttemptEnd::Unreachable, false, None, e.to_string()),
         };
-        let message = self.message(request, chosen);
+        guard.reused = Some(connection.reused);
+        let message = self.message(request, &guard.chosen);
         let response = match connection.sender.try_send_request(message).await {
             Ok(response) => response,
             Err(mut error) => {
-                if error.take_message().is_some() {
-                    let end = AttemptEnd::Unreachable;
-                    return not_run(end, false, None);
+                let unsent = error.take_message().is_some();
+                let what = error.into_error().to_string();
+                if unsent {
+                    return not_run(AttemptEnd::Unreachable, false, None, what);
                 }
-                return broken(format!("{}", error.into_error()));
+                return broken(what);
             }
         };
-        self.read_answer(request, chosen, connection, response)
+        let address = guard.chosen.record.address;
+        self.read_answer(request, address, connection, response)
             .await
     }
 
@@ -176,7 +190,7 @@
     async fn read_answer(
         &self,
         request: &ForwardRequest,
-        chosen: &ChosenServer,
+        address: SocketAddr,
         mut connection: ServerConnection,
         response: Response<Incoming>,
     ) -> (AttemptResult, AttemptEnd, Option<ReportedLoad>) {
@@ -196,14 +210,14 @@
             connection.set_idle_limit(limit);
         }
         if !closes && !connection.sender.is_closed() {
-            self.pool.put(chosen.record.address, connection);
+            self.pool.put(address, connection);
         }
         let not_executed = parts.headers.contains_key(&self.names.not_run);
         if parts.status == StatusCode::MISDIRECTED_REQUEST {
-            return not_run(AttemptEnd::Misdirected, true, load);
+            return not_run(AttemptEnd::Misdirected, true, load, "wrong server".into());
         }
         if not_executed {
-            return not_run(AttemptEnd::Shed, true, load);
+            return not_run(AttemptEnd::Shed, true, load, "rejected".into());
         }
         if parts.status.is_success() && !self.is_signed(&parts.headers, own) {
             return broken("a success without signature".to_string());
@@ -242,8 +256,9 @@
     end: AttemptEnd,
     arrived: bool,
     load: Option<ReportedLoad>,
+    what: String,
 ) -> (AttemptResult, AttemptEnd, Option<ReportedLoad>) {
-    (AttemptResult::NotRun { end, arrived }, end, load)
+    (AttemptResult::NotRun { end, arrived, what }, end, load)
 }
 
 fn broken(what: String) -> (AttemptResult, AttemptEnd, Option<ReportedLoad>) {
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -44,7 +44,7 @@
     Own(OwnAnswer),
 }
 
-type RunningAttempt<'a> = BoxFuture<'a, (ServerKey, AttemptResult)>;
+type RunningAttempt<'a> = BoxFuture<'a, AttemptResult>;
 
 /// What is known of a request after its attempts so far.
 #[derive(Debug, Default)]
@@ -116,7 +116,7 @@
                         let _ = self.start(request, &mut progress, &mut running);
                     }
                 }
-                ForwardEvent::Done(Some((_, result))) => {
+                ForwardEvent::Done(Some(result)) => {
                     if let Some(end) = self.take(request, &mut progress, result) {
                         return end;
                     }
@@ -157,20 +157,17 @@
         let chosen = match chosen {
             Ok(chosen) => chosen,
             Err(refusal) => {
+                log_refusal(request, &query, refusal);
                 progress.note_refusal(refusal);
                 return None;
             }
         };
-        let key = chosen.key;
         let latest = request.left(now).mul_f64(HEDGE_SHARE);
         let expected = chosen.forecast.expected().mul_f64(HEDGE_FACTOR);
         let hedge_after = expected.max(MIN_HEDGE).min(latest);
-        progress.tried.push(key);
-        let guard = LoadGuard::new(Arc::clone(state), &chosen, request.object);
-        let attempt = async move {
-            let result = self.sender.send(request, &chosen, guard).await;
-            (key, result)
-        };
+        progress.tried.push(chosen.key);
+        let guard = LoadGuard::new(Arc::clone(state), chosen, request);
+        let attempt = async move { self.sender.send(request, guard).await };
         running.push(attempt.boxed());
         Some(hedge_after)
     }
@@ -192,7 +189,7 @@
                 progress.may_have_run = true;
                 progress.failure = Some(answer);
             }
-            AttemptResult::NotRun { end, arrived } => {
+            AttemptResult::NotRun { end, arrived, .. } => {
                 progress.arrived += u32::from(arrived);
                 progress.unreached += u32::from(!arrived);
                 progress.cause = end.to_string();
@@ -254,9 +251,26 @@
     }
 }
 
+fn log_refusal(request: &ForwardRequest, query: &ServerQuery<'_>, refusal: LoadRefusal) {
+    log::info!(
+        target: "refusal",
+        "no server taken; request={} service={} cause={} candidates={} soonest_ms={} wanted_ms={} \
+         left_ms={} tried={} spill={:.2}",
+        request.id,
+        request.service,
+        refusal.cause,
+        refusal.candidates,
+        refusal.soonest.as_millis(),
+        query.wanted.as_millis(),
+        query.left.as_millis(),
+        query.tried.len(),
+        refusal.spill,
+    );
+}
+
 #[derive(Debug)]
 enum ForwardEvent {
-    Done(Option<(ServerKey, AttemptResult)>),
+    Done(Option<AttemptResult>),
     Hedge,
     Deadline,
 }
--- a/crates/telemetry/src/lines.rs
+++ b/crates/telemetry/src/lines.rs
@@ -4,13 +4,16 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{self, SyncSender, TrySendError};
 use std::sync::OnceLock;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
-use log::{LevelFilter, Log, Metadata, Record};
+use log::{Level, LevelFilter, Log, Metadata, Record};
 
 /// Lines that wait for the writer; more are dropped and counted.
 const MAX_WAITING: usize = 2_048;
 
+/// Lines below a warning that a process writes in a second; more are dropped and counted.
+const MAX_PER_SECOND: u64 = 400;
+
 /// Longest wait for the writer at the end of the process.
 const FLUSH_LIMIT: Duration = Duration::from_millis(200);
 
@@ -25,6 +28,9 @@
     lines: SyncSender<LineMessage>,
     level: LevelFilter,
     dropped: AtomicU64,
+    start: Instant,
+    /// Second since the start in the upper half, lines in it in the lower one.
+    written: AtomicU64,
 }
 
 /// Starts logging for the process. A second call changes nothing.
@@ -39,6 +45,8 @@
         lines,
         level,
         dropped: AtomicU64::new(0),
+        start: Instant::now(),
+        written: AtomicU64::new(0),
     });
     if log::set_logger(logger).is_ok() {
         log::set_max_level(level);
@@ -73,6 +81,22 @@
     }
 }
 
+impl LineLogger {
+    /// Counts a line; tells whether the present second has room for it.
+    fn has_room(&self) -> bool {
+        let second = self.start.elapsed().as_secs();
+        let seen = self.written.load(Ordering::Relaxed);
+        let lines = if seen >> 32 == second {
+            (seen & u64::from(u32::MAX)) + 1
+        } else {
+            1
+        };
+        self.written
+            .store((second << 32) | lines, Ordering::Relaxed);
+        lines <= MAX_PER_SECOND
+    }
+}
+
 impl Log for LineLogger {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
         metadata.level() <= self.level && !is_library(metadata.target())
@@ -82,6 +106,10 @@
         if !self.enabled(record.metadata()) {
             return;
         }
+        if record.level() > Level::Warn && !self.has_room() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         let line = line_of(record, dropped);
         if let Err(TrySendError::Full(_)) = self.lines.try_send(LineMessage::Line(line)) {
