--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -43,6 +43,9 @@
 /// drives another object out.
 const COPY_PENALTY: f64 = 0.5;
 
+/// Backend servers of a region that a request for an object may go to.
+const OBJECT_RANKS: usize = 3;
+
 /// Load up to which a backend server takes a request for an object that others have warm, as a part
 /// of its slots: a busy service must not spend its slots on copies.
 const COPY_LOAD: f64 = 0.5;
@@ -502,33 +505,44 @@
                 && !query.tried.contains(key)
         });
         let candidates: Vec<_> = candidates.collect();
-        let owners = query
-            .object
-            .map(|object| [true, false].map(|local| self.object_owner(object, local, &candidates)));
+        let ranks = query.object.map(|object| {
+            [true, false].map(|local| self.object_owners(object, local, &candidates))
+        });
         let costs = candidates.into_iter().filter_map(|key| {
-            let owns = owners.is_none_or(|owners| owners.contains(&Some(key)));
-            self.weigh(now, query, group, owns, key)
+            let rank = match &ranks {
+                None => 0,
+                Some(ranks) => ranks.iter().flatten().find(|owner| owner.0 == key)?.1,
+            };
+            self.weigh(now, query, group, rank, key)
         });
         costs.collect()
     }
 
-    /// Returns the backend server of this region, or of the others, that requests for an object
-    /// go to, all else equal: the first by hash. The fewer objects a backend server has to keep
-    /// warm, the more of them stay so.
-    fn object_owner(
+    /// Returns the backend servers of this region, or of the others, that requests for an object
+    /// go to, with their ranks: the first by hash, and those that relieve it. The fewer objects a
+    /// backend server has to keep warm, the more of them stay so.
+    fn object_owners(
         &self,
         object: u64,
         local: bool,
         candidates: &[ServerKey],
-    ) -> Option<ServerKey> {
+    ) -> Vec<(ServerKey, usize)> {
         let candidates = candidates.iter().copied().filter(|key| {
             let server = &self.servers[*key];
             (server.region == self.region) == local
         });
-        candidates.max_by_key(|key| {
-            let id = self.servers[*key].record.id.as_bytes();
-            xxh3::xxh3_64_with_seed(id, object)
-        })
+        let hash = |key: ServerKey| {
+            let id = self.servers[key].record.id.as_bytes();
+            std::cmp::Reverse(xxh3::xxh3_64_with_seed(id, object))
+        };
+        let mut hashed: Vec<_> = candidates.map(|key| (hash(key), key)).collect();
+        if hashed.len() > OBJECT_RANKS {
+            hashed.select_nth_unstable(OBJECT_RANKS - 1);
+            hashed.truncate(OBJECT_RANKS);
+        }
+        hashed.sort_unstable();
+        let ranked = hashed.into_iter().enumerate();
+        ranked.map(|(rank, (_, key))| (key, rank)).collect()
     }
 
     fn weigh(
@@ -536,7 +550,7 @@
         now: Instant,
         query: &ServerQuery<'_>,
         group: &ServiceGroup,
-        owns: bool,
+        rank: usize,
         key: ServerKey,
     ) -> Option<ServerCost> {
         let server = &self.servers[key];
@@ -559,11 +573,11 @@
         if server.record.zone != self.settings.zone {
             cost += ZONE_PENALTY.as_secs_f64();
         }
-        if !warm && !owns {
+        if !warm && rank > 0 {
             if load + 1.0 > slots * COPY_LOAD && load > 0.0 {
                 return None;
             }
-            cost += group.strange_work * COPY_PENALTY;
+            cost += group.strange_work * COPY_PENALTY * rank as f64;
         }
         cost += group.work * 2.0 * server.failures();
         Some(ServerCost {
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -10,9 +10,15 @@
 /// Time after which half of a reported load is no longer taken as true.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
 
-/// Weight of the latest request in the averages of load, time and failures.
+/// Weight of the latest request in the averages of time and failures.
 const LATEST_WEIGHT: f64 = 0.15;
 
+/// Weight of the latest report in the usual load.
+const LOAD_WEIGHT: f64 = 0.3;
+
+/// Requests at a backend server that rejects more, as a multiple of its slots.
+const FULL_QUEUE: f64 = 3.0;
+
 /// Shortest time for which a backend server is left alone after it could not be reached.
 const MIN_EJECTION: Duration = Duration::from_millis(700);
 
@@ -234,6 +240,9 @@
                 self.breaks = 0;
             }
             AttemptEnd::Failed | AttemptEnd::Shed => {
+                if end == AttemptEnd::Shed && load.is_none() {
+                    self.note_full(now);
+                }
                 self.note_failure(1.0);
                 self.strikes = 0;
                 if self.failures > EJECT_FAILURES {
@@ -272,11 +281,20 @@
         self.failures += (failed - self.failures) * LATEST_WEIGHT;
     }
 
+    /// Notes that it rejected a request, so that others fill its slots and its queue.
+    fn note_full(&mut self, now: Instant) {
+        let full = f64::from(self.record.slots) * FULL_QUEUE;
+        self.others = self.others.max(full - f64::from(self.outstanding));
+        self.reported_at = Some(now);
+    }
+
     fn note_load(&mut self, now: Instant, load: ReportedLoad) {
         let total = f64::from(load.running + load.waiting);
         let others = (total - f64::from(self.outstanding)).max(0.0);
         self.others = others;
-        self.others_usual += (others - self.others_usual) * LATEST_WEIGHT;
+        // A first report says more than nothing.
+        let weight = self.reported_at.map_or(1.0, |_| LOAD_WEIGHT);
+        self.others_usual += (others - self.others_usual) * weight;
         self.reported_at = Some(now);
         if load.slots > 0 {
             self.record.slots = load.slots;
--- a/crates/feed/tests/watcher.rs
+++ b/crates/feed/tests/watcher.rs
@@ -83,8 +83,13 @@
         origin.publish_change(change(&states, revision)).unwrap();
         beat(&origin, revision, &states[revision as usize - 1]);
     }
-    assert!(wait_until(Duration::from_secs(5), || last.view().confirmed
-        && *last.view().state == states[39]));
+    // A watcher takes only stamps that are newer than its connection, so the origin goes on.
+    let mut sequence = 40;
+    assert!(wait_until(Duration::from_secs(5), || {
+        sequence += 1;
+        beat(&origin, sequence, &states[39]);
+        last.view().confirmed && *last.view().state == states[39]
+    }));
 }
 
 #[test]
