--- a/crates/store/src/replica/recovery.rs
+++ b/crates/store/src/replica/recovery.rs
@@ -72,7 +72,8 @@
     }
 
     fn replay(&mut self, snapshot: &entry::LogSnapshot, mark: SyncMark) -> Result<LogReplay> {
-        let files = self.numbered(LOG_PREFIX)?;
+        let mut files = self.numbered(LOG_PREFIX)?;
+        self.remove_returned(&mut files, snapshot.index)?;
         let mut replay = LogReplay::new(snapshot.index);
         for (position, (name, sequence)) in files.iter().enumerate() {
             let path = self.folder.join(name);
@@ -117,6 +118,34 @@
         Ok(replay)
     }
 
+    /// Removes log files that a snapshot replaced and that a power loss brought back: those before
+    /// a gap, where the file after it begins with what the snapshot holds.
+    fn remove_returned(
+        &mut self,
+        files: &mut Vec<(String, u64)>,
+        snapshot: ids::LogIndex,
+    ) -> Result<()> {
+        let gap = (1..files.len()).rfind(|place| files[*place].1 != files[place - 1].1 + 1);
+        let Some(gap) = gap else {
+            return Ok(());
+        };
+        let path = self.folder.join(&files[gap].0);
+        let bytes = self.disk.read(&path).map_err(StoreError::at(&path))?;
+        let replaced = match record::decode::<LogRecord>(&bytes, 0) {
+            ReadRecord::Whole(LogRecord::Start { index, .. }, _) => index > 0 && index <= snapshot,
+            _ => false,
+        };
+        if !replaced {
+            return Ok(());
+        }
+        for (name, _) in files.drain(..gap) {
+            let path = self.folder.join(&name);
+            log::warn!(target: "store", "a replaced log file came back and is removed; file={name}");
+            self.disk.remove(&path).map_err(StoreError::at(&path))?;
+        }
+        Ok(())
+    }
+
     fn replay_file(
         &mut self,
         path: &Path,
@@ -155,6 +184,13 @@
                 ReadRecord::End | ReadRecord::Torn => {
                     return Err(damaged(offset, "the file ends too early"));
                 }
+                // A power loss keeps some of the bytes after the last sync and loses others.
+                ReadRecord::Damaged(_)
+                    if file.last && offset > 0 && offset as u64 >= file.synced =>
+                {
+                    self.cut(path, offset as u64)?;
+                    break;
+                }
                 ReadRecord::Damaged(reason) => return Err(damaged(offset, reason)),
             }
         }
--- a/crates/store/tests/damaged_files.rs
+++ b/crates/store/tests/damaged_files.rs
@@ -176,3 +176,48 @@
     assert_ne!(after.incarnation, before.incarnation);
     assert!(after.entries.is_empty());
 }
+
+/// A power loss keeps some of the bytes after the last sync and loses others: what is garbage
+/// there was never acknowledged.
+#[rstest]
+#[case::first_bytes_lost(0, 8)]
+#[case::middle_lost(10, 16)]
+#[case::head_of_the_entry_lost(20, 30)]
+fn a_hole_in_what_was_not_synced_is_cut(#[case] from: usize, #[case] to: usize) {
+    let folder = filled();
+    let path = only_file(folder.path(), "log-");
+    let log = fs::read(&path).unwrap();
+    unsync(folder.path(), &log);
+    let mut holed = log.clone();
+    let start = tail(&log);
+    holed[start + from..start + to].fill(0);
+    fs::write(&path, holed).unwrap();
+    assert_tail_cut(folder.path());
+}
+
+/// Log files that a snapshot replaced were removed; a power loss may bring some of them back.
+#[rstest]
+#[case::oldest_only(&[1])]
+#[case::gap(&[1, 3])]
+#[case::all(&[1, 2, 3])]
+fn removed_log_files_may_come_back(#[case] back: &[u64]) {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut store, _) = ReplicaStore::open(folder.path(), 1).unwrap();
+    let mut kept = Vec::new();
+    for index in 1..=3 {
+        store.write(&append(index)).unwrap();
+        let path = only_file(folder.path(), "log-");
+        kept.push((path.clone(), fs::read(&path).unwrap()));
+        store.write(&snapshot(index)).unwrap();
+    }
+    store.write(&append(4)).unwrap();
+    drop(store);
+    for number in back {
+        let (path, bytes) = &kept[*number as usize - 1];
+        fs::write(path, bytes).unwrap();
+    }
+    let state = open(folder.path()).unwrap();
+    assert_eq!(state.snapshot.index, 3);
+    let entries: Vec<_> = state.entries.iter().map(|entry| entry.index).collect();
+    assert_eq!(entries, [4]);
+}
