--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -621,7 +621,7 @@
         let leaves = spill.decide(now, query.object, relief.then_some(full), max_shift);
         let best = match (near, far) {
             (None, Some(far)) if leaves || spill.starve(query.object) => Some(far),
-            (Some(_), Some(far)) if leaves && far.room => Some(far),
+            (Some(near), Some(far)) if leaves && (far.room || !near.room) => Some(far),
             (near, _) => near,
         };
         if let Some(best) = best {
