--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -239,12 +239,19 @@
                 self.strikes = 0;
                 self.breaks = 0;
             }
-            AttemptEnd::Failed | AttemptEnd::Shed => {
-                if end == AttemptEnd::Shed && load.is_none() {
+            // A rejection costs a try elsewhere and no more, so it is no reason to leave the
+            // server alone; one that was busy is full.
+            AttemptEnd::Shed => {
+                let busy = self.load(now) + 1.0 >= f64::from(self.record.slots);
+                if load.is_none() && busy {
                     self.note_full(now);
                 }
                 self.note_failure(1.0);
                 self.strikes = 0;
+            }
+            AttemptEnd::Failed => {
+                self.note_failure(1.0);
+                self.strikes = 0;
                 if self.failures > EJECT_FAILURES {
                     self.eject(now);
                     // The average starts anew once it is tried again.
