--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -48,7 +48,7 @@
 const WARM_OBJECTS: usize = 64;
 
 /// How one attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum AttemptEnd {
     /// A whole answer.
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -23,6 +23,7 @@
 use crate::message::{
     FollowReply, FollowRequest, HeardReport, HostStatus, ProposeOutcome, SiteReading,
 };
+use crate::metrics::DirectorMetrics;
 use crate::settings::DirectorSettings;
 
 /// Time between two heartbeats of a leader; a third of a slow round between regions is 20 ms.
@@ -99,6 +100,8 @@
     Hosts(oneshot::Sender<Vec<HostStatus>>),
     /// The state for a dump.
     Dump(oneshot::Sender<DirectorDump>),
+    /// The settings name other seeds.
+    Seeds(Vec<ReplicaId>),
     /// Hand the leadership over before a planned stop.
     HandOver,
 }
@@ -158,6 +161,7 @@
 /// Holds the replica's whole state; one task owns it.
 pub struct DirectorCore {
     settings: DirectorSettings,
+    metrics: DirectorMetrics,
     machine: QuorumMachine,
     state: FleetState,
     changes: ChangeLog,
@@ -187,6 +191,7 @@
         now: Instant,
         settings: DirectorSettings,
         recovered: RecoveredState,
+        metrics: DirectorMetrics,
     ) -> Result<Self, postcard::Error> {
         let state = decode_state(&recovered.snapshot)?;
         let own = address::replica_at(settings.mesh);
@@ -209,6 +214,7 @@
             changes: ChangeLog::new(state.revision()),
             state,
             settings,
+            metrics,
             liveness: LivenessTable::new(),
             announced_at: BTreeMap::new(),
             outcomes: BTreeMap::new(),
@@ -263,7 +269,8 @@
         match call {
             CoreCall::Receive { from, message } => self.receive(now, from, *message),
             CoreCall::Heard(report) => self.liveness.merge(now, *report),
-            CoreCall::Disk(DiskReport::Synced { token, .. }) => {
+            CoreCall::Disk(DiskReport::Synced { token, took }) => {
+                self.metrics.record_sync(took);
                 self.feed(now, Event::Persisted { token });
             }
             CoreCall::Disk(DiskReport::Failed(_)) => self.feed(now, Event::StorageFailed),
@@ -282,6 +289,7 @@
             CoreCall::Dump(reply) => {
                 let _ = reply.send(self.dump(now));
             }
+            CoreCall::Seeds(seeds) => self.feed(now, Event::Contacts(seeds)),
             CoreCall::HandOver => self.feed(now, Event::HandOver),
         }
         self.answer_followers(now);
@@ -333,6 +341,7 @@
     }
 
     fn change_role(&mut self, now: Instant, role: Role, term: Term, leader: Option<ReplicaId>) {
+        self.metrics.set_role(role, term);
         self.leads_since = (role == Role::Leader).then_some(now);
         let leader = leader.map(|leader| address::address_of(leader).to_string());
         let leader = leader.unwrap_or_default();
@@ -360,6 +369,7 @@
             self.note_change(now, entry.index, change);
         }
         self.changes.append(entry.index, changes);
+        self.metrics.count_command(outcome);
         self.outcomes.insert(entry.index, outcome);
         while self.outcomes.len() > MAX_OUTCOMES {
             self.outcomes.pop_first();
@@ -565,6 +575,8 @@
                 hosts_digest,
                 replicas: self.replicas(),
             };
+            self.metrics.count_follow();
+            // A host that left meanwhile asks another replica.
             let _ = follower.reply.send(reply);
         }
     }
--- a/crates/director/src/daemon.rs
+++ b/crates/director/src/daemon.rs
@@ -14,6 +14,7 @@
 use crate::handle::{CoreQueue, DirectorHandle};
 use crate::mesh::MeshLinks;
 use crate::message::MeshRequest;
+use crate::metrics::DirectorMetrics;
 use crate::service::MeshService;
 use crate::settings::DirectorSettings;
 
@@ -55,16 +56,19 @@
 /// # Errors
 ///
 /// Fails where the folder or the address can't be used.
-pub fn start(settings: DirectorSettings) -> Result<DirectorHandle, DirectorError> {
+pub fn start(
+    settings: DirectorSettings,
+    metrics: DirectorMetrics,
+) -> Result<DirectorHandle, DirectorError> {
     let own = address::replica_at(settings.mesh);
     let (queue, mut calls) = CoreQueue::new();
     let mesh = MeshLinks::new(own);
     let handle = DirectorHandle::new(own, queue.clone(), mesh.clone());
-    let (mut core, mut disk) = open(&settings, &queue)?;
+    let (mut core, mut disk) = open(&settings, &queue, &metrics)?;
     MeshService::new(handle.clone()).serve(settings.mesh.into())?;
     task::spawn(async move {
         while run_core(core, &mut calls, disk, &mesh).await == CoreEnd::DiskFailed {
-            (core, disk) = reopen(&settings, &queue, &mut calls).await;
+            (core, disk) = reopen(&settings, &queue, &metrics, &mut calls).await;
         }
     });
     Ok(handle)
@@ -74,6 +78,7 @@
 fn open(
     settings: &DirectorSettings,
     queue: &CoreQueue,
+    metrics: &DirectorMetrics,
 ) -> Result<(DirectorCore, DiskWriter), DirectorError> {
     let own = address::replica_at(settings.mesh);
     let (store, recovered) = ReplicaStore::open(&settings.folder, own)?;
@@ -92,7 +97,7 @@
         }
         reports.send_blocking(CoreCall::Disk(report));
     })?;
-    let core = DirectorCore::new(Instant::now(), settings.clone(), recovered)?;
+    let core = DirectorCore::new(Instant::now(), settings.clone(), recovered, metrics.clone())?;
     Ok((core, disk))
 }
 
@@ -101,12 +106,13 @@
 async fn reopen(
     settings: &DirectorSettings,
     queue: &CoreQueue,
+    metrics: &DirectorMetrics,
     calls: &mut mpsc::Receiver<CoreCall>,
 ) -> (DirectorCore, DiskWriter) {
     loop {
         task::sleep(REOPEN_PAUSE).await;
         while calls.try_recv().is_ok() {}
-        match open(settings, queue) {
+        match open(settings, queue, metrics) {
             Ok(opened) => return opened,
             Err(e) => log::warn!(target: "store", "folder not opened; error={e}"),
         }
--- a/crates/director/src/handle.rs
+++ b/crates/director/src/handle.rs
@@ -1,5 +1,6 @@
 //! What the process's own listeners may ask of the replica.
 
+use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use async_std::{future, task};
@@ -184,6 +185,12 @@
         }
     }
 
+    /// Tells the replica of other seeds.
+    pub fn set_seeds(&self, seeds: &[SocketAddrV4]) {
+        let seeds = seeds.iter().map(|seed| address::replica_at(*seed));
+        self.core.offer(CoreCall::Seeds(seeds.collect()));
+    }
+
     /// Returns the entry hosts that are alive.
     pub async fn hosts(&self) -> Vec<HostStatus> {
         self.core.ask(CoreCall::Hosts).await.unwrap_or_default()
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`mesh`] | calls to other processes |
 //! | [`service`] | calls from other processes |
 //! | [`handle`] | what the process itself may ask |
+//! | [`metrics`] | counters, gauges, histograms |
 //! | [`daemon`] | start, run, planned stop |
 
 pub mod address;
@@ -24,5 +25,6 @@
 pub mod liveness;
 pub mod mesh;
 pub mod message;
+pub mod metrics;
 pub mod service;
 pub mod settings;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
+use crate::metrics::GatewayMetrics;
 use crate::pool::{self, ServerConnection, ServerPool};
 use crate::request::{self, ForwardRequest};
 use crate::settings::HeaderNames;
@@ -48,6 +49,7 @@
 #[derive(Debug)]
 pub struct LoadGuard {
     state: Arc<GatewayState>,
+    metrics: GatewayMetrics,
     chosen: ChosenServer,
     request_id: String,
     object: Option<u64>,
@@ -59,9 +61,10 @@
 
 impl LoadGuard {
     /// Begins to count.
-    pub fn new(state: Arc<GatewayState>, chosen: ChosenServer, request: &ForwardRequest) -> Self {
+    pub fn new(sender: &ServerSender, chosen: ChosenServer, request: &ForwardRequest) -> Self {
         Self {
-            state,
+            state: Arc::clone(&sender.state),
+            metrics: sender.metrics.clone(),
             chosen,
             request_id: request.id.clone(),
             object: request.object,
@@ -86,6 +89,7 @@
             forecast: chosen.forecast,
         };
         self.state.balancer().finish(now, chosen.key, report);
+        self.metrics.count_attempt(end, took);
         let reported = load.map_or(-1, |load| i64::from(load.running + load.waiting));
         log::info!(
             target: "attempt",
@@ -124,6 +128,8 @@
     pub pool: ServerPool,
     /// Names of headers.
     pub names: HeaderNames,
+    /// Counters and histograms.
+    pub metrics: GatewayMetrics,
 }
 
 impl ServerSender {
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -40,6 +40,7 @@
     pub fn new(settings: GatewaySettings, state: Arc<GatewayState>) -> Self {
         let mut replicas: Vec<_> = settings.seeds.iter().map(|seed| (*seed).into()).collect();
         replicas.shuffle(&mut rand::rng());
+        state.set_seeds(&settings.seeds);
         Self {
             settings,
             state,
@@ -139,8 +140,8 @@
 
     /// Goes on to another replica; seeds that were replaced are asked too.
     fn rotate(&mut self) {
-        for seed in &self.settings.seeds {
-            let seed = SocketAddr::from(*seed);
+        for seed in self.state.seeds() {
+            let seed = SocketAddr::from(seed);
             if !self.replicas.contains(&seed) {
                 self.replicas.push(seed);
             }
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -1,6 +1,5 @@
 //! Attempts, hedges and final answers.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use balance::balancer::{LoadRefusal, RefusalCause, ServerKey, ServerQuery};
@@ -166,7 +165,7 @@
         let expected = chosen.forecast.expected().mul_f64(HEDGE_FACTOR);
         let hedge_after = expected.max(MIN_HEDGE).min(latest);
         progress.tried.push(chosen.key);
-        let guard = LoadGuard::new(Arc::clone(state), chosen, request);
+        let guard = LoadGuard::new(&self.sender, chosen, request);
         let attempt = async move { self.sender.send(request, guard).await };
         running.push(attempt.boxed());
         Some(hedge_after)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,12 +16,14 @@
 //! | [`forwarder`] | attempts, hedges, final answers |
 //! | [`attempt`] | one sending to one backend server |
 //! | [`pool`] | connections to backend servers |
+//! | [`metrics`] | counters and histograms |
 //! | [`answer`] | answers of the host itself |
 
 pub mod answer;
 pub mod attempt;
 pub mod follower;
 pub mod forwarder;
+pub mod metrics;
 pub mod pipeline;
 pub mod pool;
 pub mod request;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -188,17 +188,29 @@
     }
 
     async fn serve_request(&self, parts: Parts, body: Option<Incoming>) -> Response<AnswerBody> {
-        let names = &self.forwarder.sender().names;
+        let began_at = Instant::now();
+        let sender = self.forwarder.sender();
+        let names = &sender.names;
         let id = parts.headers.get(&names.request_id).cloned();
         let own = match self.answer(parts, body).await {
-            Ok(ForwardEnd::Answer(answer)) => return answer.map(Full::new),
+            Ok(ForwardEnd::Answer(answer)) => {
+                let status = answer.status().as_u16();
+                sender
+                    .metrics
+                    .count_answer(status, false, began_at.elapsed());
+                return answer.map(Full::new);
+            }
             Ok(ForwardEnd::Own(own)) | Err(own) => own,
         };
+        let status = own.status().as_u16();
+        sender
+            .metrics
+            .count_answer(status, true, began_at.elapsed());
         log::info!(
             target: "request",
             "answered by the host; request={} status={} cause={:?}",
             id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default(),
-            own.status().as_u16(),
+            status,
             own.text()
         );
         let mut response = own.to_response();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,7 @@
 //! What the host knows: routes, backend servers, and whether it serves.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap};
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -13,6 +13,7 @@
 use fleet::change::{FleetUpdate, FleetView};
 use fleet::ids;
 use fleet::site::{RouteSpec, SiteConfig};
+use serde::Serialize;
 
 /// Age of the last confirmed state up to which a missing route is known to be missing.
 const CURRENT_LIMIT: Duration = Duration::from_millis(2_000);
@@ -33,6 +34,26 @@
     cold_digest: u64,
     confirmed_at: Option<Instant>,
     replicas: Vec<SocketAddr>,
+    seeds: Vec<SocketAddrV4>,
+}
+
+/// State of an entry host, for operators.
+#[derive(Debug, Serialize)]
+pub struct GatewayDump {
+    /// Whether it takes clients.
+    pub ready: bool,
+    /// Whether a planned stop has begun.
+    pub stopping: bool,
+    /// Number of the configuration in force.
+    pub version: ids::SiteVersion,
+    /// Revision of the state that it follows.
+    pub revision: Option<ids::Revision>,
+    /// Milliseconds since the state was last confirmed.
+    pub confirmed_ago_ms: Option<u128>,
+    /// Ready entry hosts that it knows.
+    pub hosts: usize,
+    /// Load of each backend server, as it is taken to be.
+    pub loads: BTreeMap<ids::ServerId, f64>,
 }
 
 /// What the tasks of an entry host share.
@@ -102,11 +123,39 @@
         )
     }
 
+    /// Returns the state for a dump.
+    pub fn dump(&self) -> GatewayDump {
+        let now = Instant::now();
+        let (revision, ..) = self.known();
+        let confirmed_at = lock(&self.knowledge).confirmed_at;
+        let balancer = self.balancer();
+        GatewayDump {
+            ready: self.is_ready(),
+            stopping: self.is_stopping(),
+            version: self.routes.load().version,
+            revision,
+            confirmed_ago_ms: confirmed_at
+                .map(|confirmed_at| now.saturating_duration_since(confirmed_at).as_millis()),
+            hosts: balancer.hosts(),
+            loads: balancer.loads(now),
+        }
+    }
+
     /// Returns the control replicas that are known.
     pub fn replicas(&self) -> Vec<SocketAddr> {
         lock(&self.knowledge).replicas.clone()
     }
 
+    /// Returns the seeds of the settings.
+    pub fn seeds(&self) -> Vec<SocketAddrV4> {
+        lock(&self.knowledge).seeds.clone()
+    }
+
+    /// Notes the seeds of the settings, at the start and when they change.
+    pub fn set_seeds(&self, seeds: &[SocketAddrV4]) {
+        lock(&self.knowledge).seeds = seeds.to_vec();
+    }
+
     /// Notes the control replicas.
     pub fn set_replicas(&self, replicas: &[SocketAddr]) {
         lock(&self.knowledge).replicas = replicas.to_vec();
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -143,6 +143,15 @@
         self.signal(Signal::CONT)
     }
 
+    /// Tells the process that its settings may have changed (SIGHUP).
+    ///
+    /// # Errors
+    ///
+    /// Fails where it is not running.
+    pub fn hang_up(&self) -> Result<(), ProofError> {
+        self.signal(Signal::HUP)
+    }
+
     /// Asks the process to stop (SIGTERM) without waiting for it.
     ///
     /// # Errors
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -18,7 +18,7 @@
     /// it, one is admitted only in place of a voter that is silent.
     pub voters: usize,
     /// Silence after which a voter may be replaced by a replica that has caught up.
-    pub replace_after: Duration,
+    pub silence_limit: Duration,
     /// Time between two heartbeats of a leader.
     pub heartbeat: Duration,
     /// Shortest time without a leader after which a replica stands for election; the longest is
@@ -39,7 +39,7 @@
             id,
             may_found: true,
             voters: replicas.len(),
-            replace_after: Duration::from_millis(1_500),
+            silence_limit: Duration::from_millis(1_500),
             replicas,
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(600),
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -42,6 +42,8 @@
         /// State of the application.
         data: Vec<u8>,
     },
+    /// Others that may know the voters; a replica that joins greets them too.
+    Contacts(Vec<ids::ReplicaId>),
     /// The process is to stop: hand the leadership over.
     HandOver,
 }
--- a/crates/quorum/src/machine.rs
+++ b/crates/quorum/src/machine.rs
@@ -130,6 +130,7 @@
             }
             Event::StorageFailed => self.fail(),
             Event::SnapshotTaken { index, data } => self.compact(index, data),
+            Event::Contacts(contacts) => self.on_members(&contacts),
             Event::HandOver => self.hand_over(),
         }
         self.finish(effects)
@@ -211,7 +212,7 @@
 
     /// Returns the other replicas that votes and entries go to: the voters, and those that join.
     pub(crate) fn peers(&self) -> Vec<ids::ReplicaId> {
-        let silent = self.config.replace_after * 2;
+        let silent = self.config.silence_limit * 2;
         let joiners = self.joiners.iter();
         let joiners = joiners.filter(|(_, heard_at)| self.now < **heard_at + silent);
         let mut peers: BTreeSet<_> = joiners.map(|(joiner, _)| *joiner).collect();
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -280,7 +280,7 @@
     /// Returns a voter that hasn't answered this leader for long.
     fn silent_voter(&self) -> Option<ids::ReplicaId> {
         let leadership = self.leadership.as_ref()?;
-        let limit = self.config.replace_after;
+        let limit = self.config.silence_limit;
         let heard_at = |voter: &ids::ReplicaId| {
             let progress = leadership.peers.get(voter);
             progress
