--- a/crates/telemetry/src/lines.rs
+++ b/crates/telemetry/src/lines.rs
@@ -154,7 +154,7 @@
     for word in fields.split(' ').filter(|word| !word.is_empty()) {
         if let Some((next, start)) = word.split_once('=').filter(|(next, _)| is_name(next)) {
             if let Some(name) = name.replace(next) {
-                line.insert(name.to_string(), std::mem::take(&mut value).into());
+                line.insert(name.to_string(), value_of(name, std::mem::take(&mut value)));
             }
             value = start.to_string();
         } else {
@@ -163,7 +163,7 @@
         }
     }
     if let Some(name) = name {
-        line.insert(name.to_string(), value.into());
+        line.insert(name.to_string(), value_of(name, value));
     }
     if dropped > 0 {
         line.insert("dropped_before".to_string(), dropped.into());
@@ -173,6 +173,15 @@
     line
 }
 
+/// Returns a field's value: a number where it is one, but for ids, which may look like numbers.
+fn value_of(name: &str, value: String) -> serde_json::Value {
+    const IDS: [&str; 4] = ["request", "server", "object", "host"];
+    match value.parse::<i64>() {
+        Ok(number) if !IDS.contains(&name) => number.into(),
+        _ => value.into(),
+    }
+}
+
 fn is_name(word: &str) -> bool {
     !word.is_empty()
         && word
