--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -43,8 +43,11 @@
 /// drives another object out.
 const COPY_PENALTY: f64 = 0.5;
 
-/// Backend servers of a region that a request for an object may go to.
-const OBJECT_RANKS: usize = 3;
+/// Backend servers of this region that a request for an object may go to.
+const LOCAL_RANKS: usize = 2;
+
+/// Backend servers of other regions that it may go to.
+const FAR_RANKS: usize = 1;
 
 /// Load up to which a backend server takes a request for an object that others have warm, as a part
 /// of its slots: a busy service must not spend its slots on copies.
@@ -536,9 +539,10 @@
             std::cmp::Reverse(xxh3::xxh3_64_with_seed(id, object))
         };
         let mut hashed: Vec<_> = candidates.map(|key| (hash(key), key)).collect();
-        if hashed.len() > OBJECT_RANKS {
-            hashed.select_nth_unstable(OBJECT_RANKS - 1);
-            hashed.truncate(OBJECT_RANKS);
+        let ranks = if local { LOCAL_RANKS } else { FAR_RANKS };
+        if hashed.len() > ranks {
+            hashed.select_nth_unstable(ranks - 1);
+            hashed.truncate(ranks);
         }
         hashed.sort_unstable();
         let ranked = hashed.into_iter().enumerate();
