--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -41,7 +41,7 @@
 
 /// What a further copy of an object counts, as a part of the time of a request for a strange one: it
 /// drives another object out.
-const COPY_PENALTY: f64 = 0.5;
+const COPY_PENALTY: f64 = 1.0;
 
 /// Backend servers of this region that a request for an object may go to.
 const LOCAL_RANKS: usize = 2;
@@ -51,7 +51,7 @@
 
 /// Load up to which a backend server takes a request for an object that others have warm, as a part
 /// of its slots: a busy service must not spend its slots on copies.
-const COPY_LOAD: f64 = 0.5;
+const COPY_LOAD: f64 = 0.3;
 
 /// Least part of a request's time that is taken as its own work.
 const LEAST_WORK: f64 = 0.3;
