--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -7,13 +7,19 @@
 //! | module | holds |
 //! |---|---|
 //! | [`balancer`] | the choice of a backend server, or a refusal |
+//! | [`query`] | what is asked of it, and what it answers |
 //! | [`server`] | what is known of one backend server |
 //! | [`spill`] | the share of a region's requests that runs in other regions |
 //! | [`budget`] | the bound on second attempts |
 //! | [`settings`] | bounds and the place of the host |
+//!
+//! Within the crate, `group` is what is known of a service and `weigh` how its servers are weighed.
 
 pub mod balancer;
 pub mod budget;
+mod group;
+pub mod query;
 pub mod server;
 pub mod settings;
 pub mod spill;
+mod weigh;
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -10,7 +10,8 @@
 
 use std::time::{Duration, Instant};
 
-use balance::balancer::{AttemptReport, LoadBalancer, RefusalCause, ServerQuery};
+use balance::balancer::LoadBalancer;
+use balance::query::{AttemptReport, RefusalCause, ServerQuery};
 use balance::server::AttemptEnd;
 use fleet::change::FleetChange;
 use fleet::server::{ServerRecord, ServerState};
--- a/crates/balance/tests/played/mod.rs
+++ b/crates/balance/tests/played/mod.rs
@@ -11,7 +11,8 @@
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::{Duration, Instant};
 
-use balance::balancer::{AttemptReport, ChosenServer, LoadBalancer, ServerQuery};
+use balance::balancer::LoadBalancer;
+use balance::query::{AttemptReport, ChosenServer, ServerQuery};
 use balance::server::{AttemptEnd, ReportedLoad};
 use balance::settings::BalanceSettings;
 use fleet::change::FleetView;
--- a/crates/director/src/daemon.rs
+++ b/crates/director/src/daemon.rs
@@ -10,7 +10,8 @@
 use tokio::sync::mpsc;
 
 use crate::address;
-use crate::core::{CoreAction, CoreCall, DirectorCore};
+use crate::call::{CoreAction, CoreCall};
+use crate::core::DirectorCore;
 use crate::handle::{CoreQueue, DirectorHandle};
 use crate::mesh::MeshLinks;
 use crate::message::MeshRequest;
--- a/crates/director/src/handle.rs
+++ b/crates/director/src/handle.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::address;
-use crate::core::{AnnounceStep, CoreCall, DirectorDump};
+use crate::call::{AnnounceStep, CoreCall, DirectorDump};
 use crate::mesh::MeshLinks;
 use crate::message::{HostStatus, MeshReply, MeshRequest, ProposeOutcome, SiteReading};
 
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`settings`] | addresses, folder, times |
 //! | [`address`] | replica numbers that name an address |
 //! | [`message`] | what processes ask of each other |
+//! | [`call`] | what tasks ask of the core |
 //! | [`core`] | the decisions: log, state, liveness |
 //! | [`liveness`] | who was heard when |
 //! | [`directory`] | which entry hosts a client may use |
@@ -18,6 +19,7 @@
 //! | [`daemon`] | start, run, planned stop |
 
 pub mod address;
+pub mod call;
 pub mod core;
 pub mod daemon;
 pub mod directory;
--- a/crates/director/src/service.rs
+++ b/crates/director/src/service.rs
@@ -11,7 +11,7 @@
 use wire::v1::mesh_server::{Mesh, MeshServer};
 use wire::{dial, v1};
 
-use crate::core::CoreCall;
+use crate::call::CoreCall;
 use crate::handle::DirectorHandle;
 use crate::message::{MeshReply, MeshRequest, ProposeOutcome, SiteReading};
 
--- a/crates/director/src/settings.rs
+++ b/crates/director/src/settings.rs
@@ -4,15 +4,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use fleet::ids;
-
 /// Settings of one replica.
 #[derive(Debug, Clone)]
 pub struct DirectorSettings {
-    /// Name of the host, for logs.
-    pub host: String,
-    /// Availability zone.
-    pub zone: ids::ZoneName,
     /// Where the other processes reach this one.
     pub mesh: SocketAddrV4,
     /// Where the replicas were found that this one knows of.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use balance::balancer::{AttemptReport, ChosenServer};
+use balance::query::{AttemptReport, ChosenServer};
 use balance::server::{AttemptEnd, ReportedLoad};
 use bytes::Bytes;
 use http::header::{HeaderMap, CONNECTION, CONTENT_ENCODING, HOST};
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use balance::balancer::{LoadRefusal, RefusalCause, ServerKey, ServerQuery};
+use balance::query::{LoadRefusal, RefusalCause, ServerKey, ServerQuery};
 use bytes::Bytes;
 use futures_util::future::{self, BoxFuture, Either, FutureExt};
 use futures_util::stream::{FuturesUnordered, StreamExt};
