--- a/crates/balance/src/group.rs
+++ b/crates/balance/src/group.rs
@@ -13,6 +13,9 @@
 /// seen.
 const FIRST_STRANGE: f64 = 2.5;
 
+/// Least seconds that a request is taken to need; below it load and owners would no longer count.
+const LEAST_WORK: f64 = 0.001;
+
 /// Weight of the latest request in a service's time of work.
 const WORK_WEIGHT: f64 = 0.05;
 
@@ -36,6 +39,7 @@
     /// Takes the time of a request into the averages.
     pub(crate) fn note_work(&mut self, work: f64, warm: bool) {
         let seen = &mut self.seen[usize::from(warm)];
+        let work = work.max(LEAST_WORK);
         *seen = seen.saturating_add(1);
         // The first requests replace the guess.
         let weight = WORK_WEIGHT.max(1.0 / f64::from(*seen));
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -175,3 +175,26 @@
     assert!(retries as f64 <= REQUESTS as f64 * 0.2 + 50.0);
     assert!(retries > REQUESTS / 10, "the budget is used: {retries}");
 }
+
+/// Requests that take no time at all are still spread by their objects.
+#[test]
+fn instant_answers_leave_no_server_idle() {
+    let now = Instant::now();
+    let mut balancer = balancer(now, &two_servers());
+    let mut counts = std::collections::BTreeMap::new();
+    for object in 0..200_u64 {
+        let object = object.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let chosen = balancer.choose(now, &query(Some(object))).unwrap();
+        let report = AttemptReport {
+            end: AttemptEnd::Answered,
+            took: Duration::ZERO,
+            load: None,
+            object: Some(object),
+            forecast: chosen.forecast,
+        };
+        balancer.finish(now, chosen.key, report);
+        *counts.entry(chosen.record.id).or_insert(0) += 1;
+    }
+    let least = counts.values().min().copied().unwrap_or(0);
+    assert!(counts.len() == 2 && least > 40, "{counts:?}");
+}
