--- a/crates/quorum/src/machine.rs
+++ b/crates/quorum/src/machine.rs
@@ -326,6 +326,9 @@
         let own = (self.config.id, self.incarnation);
         if snapshot.admitted.contains(&own) {
             self.become_member();
+        } else if !snapshot.admitted.iter().any(|(voter, _)| *voter == own.0) {
+            // The entry that replaced this one is behind the snapshot.
+            self.leave_members();
         }
         self.done.push(Effect::Restore(snapshot));
     }
@@ -355,6 +358,9 @@
 
     /// Notes that another replica took this one's place.
     fn leave_members(&mut self) {
+        if !self.hard.member {
+            return;
+        }
         self.hard.member = false;
         self.writes.change_hard();
         if self.role != Role::Learner {
--- a/crates/quorum/tests/membership.rs
+++ b/crates/quorum/tests/membership.rs
@@ -107,3 +107,28 @@
     world.run_for(Duration::from_secs(10)).unwrap();
     assert_eq!(world.leader(), None);
 }
+
+/// It must not count itself as a voter, also where the entry that replaced it is gone from the
+/// log and it learns of it by a snapshot.
+#[test]
+fn a_replaced_voter_that_is_sent_a_snapshot_is_a_voter_no_more() {
+    let mut world = five_voters(6);
+    world.crash(5);
+    world.start(6);
+    world.run_for(Duration::from_secs(4)).unwrap();
+    let leader = world.leader().unwrap();
+    for number in 0..600_u32 {
+        world.propose(leader, &number.to_le_bytes()).unwrap();
+        world.run_for(Duration::from_millis(20)).unwrap();
+    }
+    world.run_for(Duration::from_secs(2)).unwrap();
+    for id in [1, 2, 3, 4, 6] {
+        world.snapshot(id).unwrap();
+    }
+    world.run_for(Duration::from_secs(1)).unwrap();
+    world.start(5);
+    world.run_for(Duration::from_secs(3)).unwrap();
+    let report = world.nodes[&5].machine.as_ref().unwrap().report(world.now);
+    assert!(report.snapshot_index > 0, "{report:?}");
+    assert!(!report.member, "{report:?}");
+}
