--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -127,8 +127,10 @@
 
     /// Returns the time that a request to a service usually needs.
     pub fn usual_time(&self, service: &str) -> Duration {
-        let work = self.groups.get(service).map(|group| group.work);
-        work.map_or(FIRST_WORK, Duration::from_secs_f64)
+        let group = self.groups.get(service);
+        group.map_or(FIRST_WORK, |group| {
+            Duration::from_secs_f64(group.warm_work())
+        })
     }
 
     /// Chooses a backend server; the request counts towards its load from then on.
@@ -141,20 +143,21 @@
         now: Instant,
         query: &ServerQuery<'_>,
     ) -> Result<ChosenServer, LoadRefusal> {
-        let costs = self.costs(now, query);
-        let Some(best) = self.best(now, query, &costs) else {
+        let sides = self.side_loads(now, query.service);
+        let leaves = self.leaves(now, query, &sides);
+        let costs = self.costs(now, query, &sides, leaves);
+        let Some(best) = self.best(query, &costs, leaves) else {
             return Err(self.refusal(query, &costs));
         };
         if best.cold && !self.take_cold(now, best.key) {
             return Err(self.refusal(query, &costs));
         }
         let server = &mut self.servers[best.key];
-        let load = server.load(now);
         server.begin();
         Ok(ChosenServer {
             key: best.key,
             record: server.record.clone(),
-            load,
+            load: best.load,
             forecast: best.forecast,
         })
     }
@@ -176,7 +179,7 @@
                 server.note_pace(now, ratio);
                 // What others made it wait is no work of its own.
                 let work = (took - forecast.wait).max(took * LEAST_WORK);
-                group.note_work(work, forecast.warm);
+                group.note_work(now, work, forecast.affinity);
                 if let Some(object) = report.object {
                     server.note_warm(object);
                 }
@@ -191,7 +194,7 @@
 
     pub(crate) fn group(&mut self, service: &str) -> &mut ServiceGroup {
         let group = self.groups.entry(service.to_string());
-        group.or_insert_with(ServiceGroup::new)
+        group.or_default()
     }
 
     fn set_specs(&mut self, specs: &[ServiceSpec]) {
@@ -273,11 +276,11 @@
             .map_or(0.0, |group| group.spill.share())
     }
 
-    /// Returns the backend servers by zone, for a dump.
+    /// Returns the loads that backend servers reported a short time ago, for a dump.
     pub fn loads(&self, now: Instant) -> BTreeMap<ids::ServerId, f64> {
         let servers = self.servers.values();
         servers
-            .map(|server| (server.record.id.clone(), server.load(now)))
+            .filter_map(|server| Some((server.record.id.clone(), server.reported_load(now)?)))
             .collect()
     }
 }
--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -45,11 +45,25 @@
     pub forecast: TimeForecast,
 }
 
+/// How likely a backend server is to have an object warm.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumCount)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ObjectAffinity {
+    /// This host had an answer about it there a short time ago, or there is no object.
+    Warm,
+    /// All hosts send requests for it there first.
+    Owner,
+    /// All hosts send requests for it there when its owner is busy.
+    Relief,
+    /// Requests for it go there by exception only.
+    Strange,
+}
+
 /// Time that a request was taken to need at a backend server.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TimeForecast {
-    /// Whether its object was taken to be warm.
-    pub warm: bool,
+    /// How likely its object is to be warm.
+    pub affinity: ObjectAffinity,
     /// Seconds behind other requests.
     pub wait: f64,
     /// Seconds of its own, at the usual pace.
@@ -88,6 +102,15 @@
     Full,
 }
 
+/// The backend server that would have answered a refused request first.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SoonestServer {
+    /// Load that it was taken to have.
+    pub load: f64,
+    /// What was expected of the request.
+    pub forecast: TimeForecast,
+}
+
 /// A refusal before anything was sent.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadRefusal {
@@ -97,8 +120,8 @@
     pub come_back: Duration,
     /// Backend servers that might have been used.
     pub candidates: usize,
-    /// Time until the answer of the soonest of them; zero where there is none.
-    pub soonest: Duration,
+    /// What was expected of the soonest of them.
+    pub soonest: Option<SoonestServer>,
     /// Share of the requests for the service that leaves the region.
     pub spill: f64,
 }
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -10,6 +10,12 @@
 /// Time after which half of a reported load is no longer taken as true.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
 
+/// Time after which half of a usual load is no longer taken as true.
+const USUAL_HALF_LIFE: Duration = Duration::from_secs(1);
+
+/// Age up to which a report tells of the load of a region.
+const REPORT_LIFE: Duration = Duration::from_secs(2);
+
 /// Weight of the latest request in the averages of time and failures.
 const LATEST_WEIGHT: f64 = 0.15;
 
@@ -164,14 +170,26 @@
         self.outstanding
     }
 
-    /// Returns the requests that it is taken to have, those of other hosts included.
-    pub fn load(&self, now: Instant) -> f64 {
+    /// Returns the requests that it had by its latest report, where that is not old.
+    pub fn reported_load(&self, now: Instant) -> Option<f64> {
+        let reported_at = self.reported_at?;
+        let fresh = now < reported_at + REPORT_LIFE;
+        fresh.then_some(self.others + f64::from(self.outstanding))
+    }
+
+    /// Returns the requests that it is taken to have, those of other hosts included. `typical` is
+    /// the load of others like it, as a part of their slots, for when its own is not known.
+    pub fn load(&self, now: Instant, typical: f64) -> f64 {
+        let typical = typical * f64::from(self.record.slots);
         let others = match self.reported_at {
-            None => 0.0,
+            None => typical,
             Some(reported_at) => {
                 let age = now.saturating_duration_since(reported_at).as_secs_f64();
-                let trust = 0.5_f64.powf(age / REPORT_HALF_LIFE.as_secs_f64());
-                self.others * trust + self.others_usual * (1.0 - trust)
+                let trust = |half_life: Duration| 0.5_f64.powf(age / half_life.as_secs_f64());
+                let usual = self.others_usual * trust(USUAL_HALF_LIFE)
+                    + typical * (1.0 - trust(USUAL_HALF_LIFE));
+                let report = trust(REPORT_HALF_LIFE);
+                self.others * report + usual * (1.0 - report)
             }
         };
         f64::from(self.outstanding) + others
@@ -242,7 +260,8 @@
             // A rejection costs a try elsewhere and no more, so it is no reason to leave the
             // server alone; one that was busy is full.
             AttemptEnd::Shed => {
-                let busy = self.load(now) + 1.0 >= f64::from(self.record.slots);
+                let known = self.reported_load(now);
+                let busy = known.is_none_or(|load| load >= f64::from(self.record.slots));
                 if load.is_none() && busy {
                     self.note_full(now);
                 }
--- a/crates/balance/src/spill.rs
+++ b/crates/balance/src/spill.rs
@@ -9,16 +9,10 @@
 use crate::settings::SHIFT_WINDOW;
 
 /// Part of the permitted shift that is used, as each host sees only its own requests.
-const SHIFT_USED: f64 = 0.7;
+const SHIFT_USED: f64 = 0.6;
 
-/// Time over which fullness is averaged.
-const FULL_MEMORY: Duration = Duration::from_millis(600);
-
-/// Share of the requests that may find the region full before more of them leave.
-const FULL_TARGET: f64 = 0.08;
-
-/// Fullness beyond the target at which the share moves at its full pace.
-const FULL_RANGE: f64 = 0.25;
+/// Time over which the urge to move is averaged.
+const URGE_MEMORY: Duration = Duration::from_millis(600);
 
 /// Factor by which the pace rises after a change of capacity.
 const CHANGED_FACTOR: f64 = 6.0;
@@ -36,7 +30,7 @@
 const MAX_LEAD: f64 = 0.05;
 
 /// How far the share may move at once.
-const MAX_MOVES: f64 = 0.04;
+const MAX_MOVES: f64 = 0.03;
 
 /// Rise of the share for one request that its region can't take.
 const STARVED_STEP: f64 = 0.005;
@@ -47,7 +41,7 @@
     share: f64,
     /// Share that has left of late; the others may have no room for all that should.
     left: f64,
-    full: f64,
+    urge: f64,
     /// How far the share may move now.
     moves: f64,
     /// Parts of requests without an object that are due to leave.
@@ -63,7 +57,7 @@
         Self {
             share: 0.0,
             left: 0.0,
-            full: 0.0,
+            urge: 0.0,
             moves: 0.0,
             credit: 0.0,
             moved_at: None,
@@ -95,18 +89,11 @@
         }
     }
 
-    /// Notes a request and whether its own region is full, where moving the share would change
-    /// that, and tells whether it is one that leaves. Requests for the same object leave together, so that it is warm in one region only.
-    pub fn decide(
-        &mut self,
-        now: Instant,
-        object: Option<u64>,
-        full: Option<bool>,
-        max_shift: f64,
-    ) -> bool {
-        self.move_share(now, full, max_shift);
-        if let Some(object) = object {
-            return place_of(object) < self.share;
+    /// Tells whether a request leaves. Requests for the same object leave together, so that it is
+    /// warm in one region only.
+    pub fn decide(&mut self, object: Option<u64>) -> bool {
+        if object.is_some() {
+            return self.leaves(object);
         }
         self.credit = (self.credit + self.share).min(2.0);
         if self.credit >= 1.0 {
@@ -116,6 +103,11 @@
         false
     }
 
+    /// Tells whether requests for an object leave at present.
+    pub fn leaves(&self, object: Option<u64>) -> bool {
+        object.is_some_and(|object| place_of(object) < self.share)
+    }
+
     /// Notes whether a request left.
     pub fn note_run(&mut self, left: bool) {
         let left = if left { 1.0 } else { 0.0 };
@@ -133,21 +125,21 @@
         object.is_none_or(|object| place_of(object) < self.share)
     }
 
-    fn move_share(&mut self, now: Instant, full: Option<bool>, max_shift: f64) {
+    /// Moves the share by how much the region wants to be relieved, from -1 (it has room for what
+    /// left) to 1.
+    pub fn note_urge(&mut self, now: Instant, urge: f64, max_shift: f64) {
         let moved_at = self.moved_at.replace(now).unwrap_or(now);
         let passed = now.saturating_duration_since(moved_at).as_secs_f64();
-        let weight = 1.0 - (-passed / FULL_MEMORY.as_secs_f64()).exp();
-        let seen = full.map_or(FULL_TARGET, |full| if full { 1.0 } else { 0.0 });
-        self.full += (seen - self.full) * weight;
+        let weight = 1.0 - (-passed / URGE_MEMORY.as_secs_f64()).exp();
+        self.urge += (urge.clamp(-1.0, 1.0) - self.urge) * weight;
         let changed = self
             .changed_at
             .is_some_and(|changed_at| now < changed_at + CHANGED_PERIOD);
         let factor = if changed { CHANGED_FACTOR } else { 1.0 };
         let pace = factor * max_shift * SHIFT_USED / SHIFT_WINDOW.as_secs_f64();
         self.moves = (self.moves + pace * passed).min(MAX_MOVES);
-        let urge = ((self.full - FULL_TARGET) / FULL_RANGE).clamp(-1.0, 1.0);
         let most = self.moves;
-        let step = (urge * pace * passed.min(1.0)).clamp(-most, most);
+        let step = (self.urge * pace * passed.min(1.0)).clamp(-most, most);
         self.moves -= step.abs();
         // A share that nobody takes up would be taken up at once when others get room.
         let most = (self.left + MAX_LEAD).max(self.share - pace * passed.min(1.0));
--- a/crates/balance/src/weigh.rs
+++ b/crates/balance/src/weigh.rs
@@ -1,12 +1,15 @@
 //! Weighs the backend servers that a request may go to.
 
+use std::cmp::Ordering;
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3;
 
 use crate::balancer::LoadBalancer;
 use crate::group::ServiceGroup;
-use crate::query::{LoadRefusal, RefusalCause, ServerKey, ServerQuery, TimeForecast};
+use crate::query::{
+    LoadRefusal, ObjectAffinity, RefusalCause, ServerKey, ServerQuery, SoonestServer, TimeForecast,
+};
 
 /// Time to a backend server in the same region, there and back.
 const NEAR_ROUND: Duration = Duration::from_millis(3);
@@ -17,22 +20,22 @@
 /// What leaving the zone counts, as time: bytes between zones are dear.
 const ZONE_PENALTY: Duration = Duration::from_millis(12);
 
-/// What a further copy of an object counts, as a part of the time of a request for a strange one: it
-/// drives another object out.
-const COPY_PENALTY: f64 = 1.0;
+/// Load up to which a backend server relieves an owner, as a part of its slots: a busy service must
+/// not spend its slots on further copies.
+const RELIEF_LOAD: f64 = 0.75;
 
-/// Backend servers of this region that a request for an object may go to.
-const LOCAL_RANKS: usize = 2;
+/// Backend servers on the side where an object is at home that a request for it may go to.
+const HOME_RANKS: usize = 2;
 
-/// Backend servers of other regions that it may go to.
-const FAR_RANKS: usize = 1;
+/// Backend servers on the other side that it may go to.
+const AWAY_RANKS: usize = 1;
 
-/// Load up to which a backend server takes a request for an object that others have warm, as a part
-/// of its slots: a busy service must not spend its slots on copies.
-const COPY_LOAD: f64 = 0.3;
+/// Load, as a part of all slots, beyond which a region's requests leave it where others have more
+/// room.
+const SPILL_LOAD: f64 = 0.6;
 
-/// Load below which a backend server has room, as a part of its slots.
-const ROOM_LOAD: f64 = 0.85;
+/// Difference in load at which the share that leaves moves at its full pace.
+const SPILL_RANGE: f64 = 0.25;
 
 /// Part of the permitted rate of a cold backend server that this host uses: less than half, so that
 /// two hosts that both take themselves for its owner stay below its bound.
@@ -50,12 +53,43 @@
     pub(crate) key: ServerKey,
     /// Seconds, preferences included.
     cost: f64,
+    /// Requests that it is taken to have.
+    pub(crate) load: f64,
     pub(crate) forecast: TimeForecast,
     local: bool,
-    room: bool,
     pub(crate) cold: bool,
 }
 
+impl ServerCost {
+    /// Returns the order of preference: an owner that answers in time goes before those that
+    /// relieve it.
+    fn compare(&self, other: &Self) -> Ordering {
+        let relief = |cost: &Self| cost.forecast.affinity == ObjectAffinity::Relief;
+        let owners = relief(self).cmp(&relief(other));
+        owners.then(self.cost.total_cmp(&other.cost))
+    }
+}
+
+/// Slots and load of the backend servers on one side that may be used.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct SideLoad {
+    slots: f64,
+    /// Slots of those that reported their load a short time ago.
+    known: f64,
+    load: f64,
+}
+
+impl SideLoad {
+    /// Returns the load as a part of the slots.
+    fn share(&self) -> f64 {
+        if self.known > 0.0 {
+            self.load / self.known
+        } else {
+            0.0
+        }
+    }
+}
+
 impl LoadBalancer {
     /// Takes one request to a cold backend server where its rate permits.
     pub(crate) fn take_cold(&self, now: Instant, key: ServerKey) -> bool {
@@ -66,8 +100,15 @@
         server.try_take_cold(now, rate, COLD_BURST)
     }
 
-    /// Weighs the backend servers that may be used.
-    pub(crate) fn costs(&self, now: Instant, query: &ServerQuery<'_>) -> Vec<ServerCost> {
+    /// Weighs the backend servers that may be used. An object is at home in this region, or beyond
+    /// where its requests leave.
+    pub(crate) fn costs(
+        &self,
+        now: Instant,
+        query: &ServerQuery<'_>,
+        sides: &[SideLoad; 2],
+        leaves: bool,
+    ) -> Vec<ServerCost> {
         let Some(group) = self.groups.get(query.service) else {
             return Vec::new();
         };
@@ -83,28 +124,43 @@
                 && !query.tried.contains(key)
         });
         let candidates: Vec<_> = candidates.collect();
-        let ranks = query.object.map(|object| {
-            [true, false].map(|local| self.object_owners(object, local, &candidates))
+        let Some(object) = query.object else {
+            let costs = candidates
+                .into_iter()
+                .filter_map(|key| self.weigh(now, group, sides, ObjectAffinity::Warm, key));
+            return costs.collect();
+        };
+        let ranked = [true, false].into_iter().flat_map(|local| {
+            let home = local != leaves;
+            let ranks = if home { HOME_RANKS } else { AWAY_RANKS };
+            let owners = self.object_owners(object, local, ranks, &candidates);
+            owners.into_iter().enumerate().map(move |(rank, key)| {
+                let affinity = match (home, rank) {
+                    (true, 0) => ObjectAffinity::Owner,
+                    (true, _) => ObjectAffinity::Relief,
+                    (false, _) => ObjectAffinity::Strange,
+                };
+                (key, affinity)
+            })
         });
-        let costs = candidates.into_iter().filter_map(|key| {
-            let rank = match &ranks {
-                None => 0,
-                Some(ranks) => ranks.iter().flatten().find(|owner| owner.0 == key)?.1,
-            };
-            self.weigh(now, query, group, rank, key)
+        let costs = ranked.filter_map(|(key, affinity)| {
+            let warm = self.servers[key].is_warm(object);
+            let affinity = if warm { ObjectAffinity::Warm } else { affinity };
+            self.weigh(now, group, sides, affinity, key)
         });
         costs.collect()
     }
 
     /// Returns the backend servers of this region, or of the others, that requests for an object
-    /// go to, with their ranks: the first by hash, and those that relieve it. The fewer objects a
-    /// backend server has to keep warm, the more of them stay so.
+    /// go to: the first by hash, and those that relieve it. The fewer objects a backend server has
+    /// to keep warm, the more of them stay so.
     fn object_owners(
         &self,
         object: u64,
         local: bool,
+        ranks: usize,
         candidates: &[ServerKey],
-    ) -> Vec<(ServerKey, usize)> {
+    ) -> Vec<ServerKey> {
         let candidates = candidates.iter().copied().filter(|key| {
             let server = &self.servers[*key];
             (server.region == self.region) == local
@@ -114,67 +170,83 @@
             std::cmp::Reverse(xxh3::xxh3_64_with_seed(id, object))
         };
         let mut hashed: Vec<_> = candidates.map(|key| (hash(key), key)).collect();
-        let ranks = if local { LOCAL_RANKS } else { FAR_RANKS };
         if hashed.len() > ranks {
             hashed.select_nth_unstable(ranks - 1);
             hashed.truncate(ranks);
         }
         hashed.sort_unstable();
-        let ranked = hashed.into_iter().enumerate();
-        ranked.map(|(rank, (_, key))| (key, rank)).collect()
+        hashed.into_iter().map(|(_, key)| key).collect()
     }
 
     fn weigh(
         &self,
         now: Instant,
-        query: &ServerQuery<'_>,
         group: &ServiceGroup,
-        rank: usize,
+        [near, far]: &[SideLoad; 2],
+        affinity: ObjectAffinity,
         key: ServerKey,
     ) -> Option<ServerCost> {
         let server = &self.servers[key];
         let local = server.region == self.region;
         let slots = f64::from(server.record.slots.max(1));
-        let load = server.load(now);
+        let typical = if local { near } else { far };
+        let load = server.load(now, typical.share());
+        if affinity == ObjectAffinity::Relief && load + 1.0 > slots * RELIEF_LOAD {
+            return None;
+        }
         let queued = (load + 1.0 - slots).max(0.0);
-        let cold = server.is_cold(now);
-        let warm = query.object.is_none_or(|object| server.is_warm(object));
         let round = if local { NEAR_ROUND } else { FAR_ROUND };
-        let own = if warm { group.work } else { group.strange_work };
         let forecast = TimeForecast {
-            warm,
-            wait: group.mean_work * queued / slots,
-            own,
+            affinity,
+            wait: group.mean_work() * queued / slots,
+            own: group.work(now, affinity),
             round: round.as_secs_f64(),
             pace: server.pace(now),
         };
-        let mut cost = forecast.seconds() + group.work * 0.2 * load / slots;
+        let work = group.warm_work();
+        let mut cost = forecast.seconds() + work * 0.2 * load / slots;
         if server.record.zone != self.settings.zone {
             cost += ZONE_PENALTY.as_secs_f64();
         }
-        if !warm && rank > 0 {
-            if load + 1.0 > slots * COPY_LOAD && load > 0.0 {
-                return None;
-            }
-            cost += group.strange_work * COPY_PENALTY * rank as f64;
-        }
-        cost += group.work * 2.0 * server.failures();
+        cost += work * 2.0 * server.failures();
         Some(ServerCost {
             key,
             cost,
+            load,
             forecast,
             local,
-            room: load + 1.0 <= slots * ROOM_LOAD || load < 1.0,
-            cold,
+            cold: server.is_cold(now),
         })
     }
 
+    /// Moves the share of requests that leave this region, and tells whether one that was not sent
+    /// anywhere yet is among them.
+    pub(crate) fn leaves(
+        &mut self,
+        now: Instant,
+        query: &ServerQuery<'_>,
+        [near, far]: &[SideLoad; 2],
+    ) -> bool {
+        let fair_share = self.fair_share(near, far);
+        // Where the others are as full, more that leaves is no relief.
+        let urge = (near.share() - far.share().max(SPILL_LOAD)) / SPILL_RANGE;
+        let max_shift = self.settings.max_shift;
+        let spill = &mut self.group(query.service).spill;
+        spill.note_capacity(now, near.slots, fair_share);
+        spill.note_urge(now, urge, max_shift);
+        if query.tried.is_empty() {
+            spill.decide(query.object)
+        } else {
+            spill.leaves(query.object)
+        }
+    }
+
     /// Returns the best of the weighed backend servers that can answer in time.
     pub(crate) fn best(
         &mut self,
-        now: Instant,
         query: &ServerQuery<'_>,
         costs: &[ServerCost],
+        leaves: bool,
     ) -> Option<ServerCost> {
         let (wanted, left) = (query.wanted.as_secs_f64(), query.left.as_secs_f64());
         let fits = |cost: &&ServerCost| {
@@ -183,24 +255,17 @@
         };
         let cheapest = |local: bool| {
             let fitting = costs.iter().filter(fits).filter(|cost| cost.local == local);
-            fitting.min_by(|a, b| a.cost.total_cmp(&b.cost)).copied()
+            fitting.min_by(|a, b| a.compare(b)).copied()
         };
         let (near, far) = (cheapest(true), cheapest(false));
-        let full = !costs.iter().any(|cost| cost.local && cost.room);
-        let max_shift = self.settings.max_shift;
-        let again = !query.tried.is_empty();
-        if again {
-            return near.or(far);
+        if !query.tried.is_empty() {
+            let best = [near, far].into_iter().flatten();
+            return best.min_by(|a, b| a.compare(b));
         }
-        let (capacity, fair_share) = self.capacity(now, query.service);
         let spill = &mut self.group(query.service).spill;
-        spill.note_capacity(now, capacity, fair_share);
-        // Where the others are full too, more that leaves is no relief.
-        let relief = !full || far.is_some_and(|far| far.room);
-        let leaves = spill.decide(now, query.object, relief.then_some(full), max_shift);
         let best = match (near, far) {
-            (None, Some(far)) if leaves || spill.starve(query.object) => Some(far),
-            (Some(near), Some(far)) if leaves && (far.room || !near.room) => Some(far),
+            (_, Some(far)) if leaves => Some(far),
+            (None, Some(far)) if spill.starve(query.object) => Some(far),
             (near, _) => near,
         };
         if let Some(best) = best {
@@ -209,47 +274,58 @@
         best
     }
 
-    /// Returns the slots of this region that may be used, and the share of its requests that would
-    /// leave it if all zones asked for the same.
-    fn capacity(&self, now: Instant, service: &str) -> (f64, f64) {
+    /// Returns slots and load of this region and of the others.
+    pub(crate) fn side_loads(&self, now: Instant, service: &str) -> [SideLoad; 2] {
         let keys = self.groups.get(service).map(|group| &group.servers);
-        let (mut local, mut all) = (0.0, 0.0);
+        let mut sides = [SideLoad::default(); 2];
         for key in keys.into_iter().flatten() {
             let server = &self.servers[*key];
             if !server.takes_work() || server.is_ejected(now) {
                 continue;
             }
+            let side = &mut sides[usize::from(server.region != self.region)];
             let slots = f64::from(server.record.slots);
-            all += slots;
-            if server.region == self.region {
-                local += slots;
+            side.slots += slots;
+            if let Some(load) = server.reported_load(now) {
+                side.known += slots;
+                side.load += load;
             }
         }
+        sides
+    }
+
+    /// Returns the share of this region's requests that would leave it if all zones asked for the
+    /// same.
+    fn fair_share(&self, near: &SideLoad, far: &SideLoad) -> f64 {
         let zones = &self.settings.regions;
         let own = zones
             .values()
             .filter(|region| **region == self.region)
             .count();
         let demand = own as f64 / zones.len().max(1) as f64;
+        let all = near.slots + far.slots;
         let fair = if all > 0.0 {
-            local / (all * demand)
+            near.slots / (all * demand)
         } else {
             1.0
         };
-        (local, (1.0 - fair).clamp(0.0, 1.0))
+        (1.0 - fair).clamp(0.0, 1.0)
     }
 
     /// Returns why no backend server was taken.
     pub(crate) fn refusal(&self, query: &ServerQuery<'_>, costs: &[ServerCost]) -> LoadRefusal {
-        let soonest = costs.iter().map(|cost| cost.forecast.seconds());
-        let soonest = soonest.min_by(f64::total_cmp);
+        let soonest = costs.iter().map(|cost| SoonestServer {
+            load: cost.load,
+            forecast: cost.forecast,
+        });
+        let soonest = soonest.min_by(|a, b| a.forecast.seconds().total_cmp(&b.forecast.seconds()));
         let (cause, come_back) = match soonest {
             None => {
                 let usual = self.usual_time(query.service);
                 (RefusalCause::NoServer, usual.max(MIN_COME_BACK * 4))
             }
             Some(soonest) => {
-                let over = (soonest - query.wanted.as_secs_f64()).max(0.0);
+                let over = (soonest.forecast.seconds() - query.wanted.as_secs_f64()).max(0.0);
                 let over = Duration::from_secs_f64(over);
                 (RefusalCause::Full, over.max(MIN_COME_BACK))
             }
@@ -258,7 +334,7 @@
             cause,
             come_back,
             candidates: costs.len(),
-            soonest: Duration::from_secs_f64(soonest.unwrap_or_default()),
+            soonest,
             spill: self.spill_share(query.service),
         }
     }
--- a/crates/balance/tests/load.rs
+++ b/crates/balance/tests/load.rs
@@ -10,7 +10,7 @@
 
 use std::collections::BTreeMap;
 
-use played::{PlayedFleet, PlayedWindow};
+use played::{PlayedFleet, PlayedWindow, PlayedWork};
 
 const HOSTS: [&str; 6] = ["east-a", "east-b", "west-a", "west-b", "south-a", "south-b"];
 const SERVERS: [(&str, usize); 6] = [
@@ -66,6 +66,42 @@
     );
 }
 
+/// Many hosts that each see few requests for an object, so that most of what they need to know is
+/// what the others do: half of what warm servers can do is answered in time.
+#[test]
+fn many_hosts_agree_on_where_objects_are_warm() {
+    const HOSTS_A_ZONE: usize = 15;
+    const REGION_RATE: f64 = 500.0;
+    let hosts: Vec<_> = HOSTS.repeat(HOSTS_A_ZONE);
+    let servers = [
+        ("east-a", 35),
+        ("east-b", 35),
+        ("west-a", 42),
+        ("west-b", 42),
+        ("south-a", 9),
+        ("south-b", 9),
+    ];
+    let mut fleet = PlayedFleet::new(&hosts, &servers, SLOTS, 21);
+    fleet.work = PlayedWork {
+        warm: 0.24,
+        strange: 0.96,
+        wanted: 0.5,
+        left: 4.0,
+    };
+    let rates = ["east", "west", "south"].map(|region| (region, REGION_RATE));
+    fleet.play(0.0, 30.0, &rates.into(), 289);
+    for w in &fleet.windows {
+        println!(
+            "DBG {} {} {} {} {} {:?}",
+            w.asked, w.in_time, w.late, w.refused, w.strange, w.ran
+        );
+    }
+    println!("DBG {:?}", fleet.spills());
+    let late_half = total(&fleet.windows[8..15]);
+    let share = late_half.in_time as f64 / late_half.asked as f64;
+    assert!(share > 0.9, "{share:.2} in time: {late_half:?}");
+}
+
 /// Twice what warm servers can do: what is taken is answered, and most of it in time.
 #[test]
 fn an_overload_is_refused_rather_than_answered_late() {
@@ -94,6 +130,23 @@
     fleet.play(0.0, 14.0, &rates(60.0), objects);
     fleet.play(14.0, 30.0, &rates(200.0), objects);
     fleet.play(30.0, 44.0, &rates(60.0), objects);
+    for w in &fleet.windows {
+        let g = |r: &str| {
+            w.ran
+                .get(&("south".to_string(), r.to_string()))
+                .copied()
+                .unwrap_or(0)
+        };
+        println!(
+            "DBG {} {} {} left {:.3} refused {}",
+            g("south"),
+            g("east"),
+            g("west"),
+            1.0 - g("south") as f64 / (g("south") + g("east") + g("west")) as f64,
+            w.refused
+        );
+    }
+    println!("DBG {:?}", fleet.spills());
     for pair in fleet.windows.windows(2) {
         let moved = moved_share("south", &pair[0], &pair[1]);
         assert!(
--- a/crates/balance/tests/played/mod.rs
+++ b/crates/balance/tests/played/mod.rs
@@ -22,12 +22,25 @@
 use rand::{Rng, SeedableRng};
 
 pub const SERVICE: &str = "reads";
-/// Seconds of a request for a warm object.
-pub const WARM: f64 = 0.075;
-/// Seconds of one for another object.
-pub const STRANGE: f64 = 0.25;
-/// Seconds within which an answer is wanted.
-pub const WANTED: f64 = 0.2;
+/// Seconds that requests need and have.
+#[derive(Debug, Clone, Copy)]
+pub struct PlayedWork {
+    /// Of one for a warm object.
+    pub warm: f64,
+    /// Of one for another object.
+    pub strange: f64,
+    /// Within which an answer is wanted.
+    pub wanted: f64,
+    /// Within which it is of any use.
+    pub left: f64,
+}
+
+pub const SHORT_READS: PlayedWork = PlayedWork {
+    warm: 0.075,
+    strange: 0.25,
+    wanted: 0.2,
+    left: 1.0,
+};
 
 pub fn settings(host: &str, zone: &str, zones: &[&str]) -> BalanceSettings {
     let regions = zones.iter().map(|zone| {
@@ -82,8 +95,8 @@
     ServerQuery {
         service: SERVICE,
         object,
-        left: Duration::from_secs(1),
-        wanted: Duration::from_secs_f64(WANTED),
+        left: Duration::from_secs_f64(SHORT_READS.left),
+        wanted: Duration::from_secs_f64(SHORT_READS.wanted),
         homes: &[],
         tried: &[],
     }
@@ -140,6 +153,7 @@
 
 pub struct PlayedFleet {
     pub hosts: Vec<(LoadBalancer, String)>,
+    pub work: PlayedWork,
     pub window: f64,
     pub windows: Vec<PlayedWindow>,
     servers: BTreeMap<String, PlayedServer>,
@@ -181,6 +195,7 @@
         });
         Self {
             hosts: hosts.collect(),
+            work: SHORT_READS,
             window: 2.0,
             windows: Vec::new(),
             servers: played.collect(),
@@ -190,6 +205,12 @@
         }
     }
 
+    pub fn spills(&self) -> Vec<f64> {
+        self.hosts
+            .iter()
+            .map(|h| h.0.spill_share(SERVICE))
+            .collect()
+    }
     fn at(&self, seconds: f64) -> Instant {
         self.start + Duration::from_secs_f64(seconds)
     }
@@ -236,7 +257,12 @@
         self.window_at(at).asked += 1;
         let balancer = &mut self.hosts[host].0;
         balancer.note_request(SERVICE);
-        let Ok(chosen) = balancer.choose(now, &query(Some(object))) else {
+        let query = ServerQuery {
+            left: Duration::from_secs_f64(self.work.left),
+            wanted: Duration::from_secs_f64(self.work.wanted),
+            ..query(Some(object))
+        };
+        let Ok(chosen) = balancer.choose(now, &query) else {
             self.window_at(at).refused += 1;
             return;
         };
@@ -271,7 +297,11 @@
             if server.warm.len() > server.keeps {
                 server.warm.pop_front();
             }
-            let work = if warm { WARM } else { STRANGE };
+            let work = if warm {
+                self.work.warm
+            } else {
+                self.work.strange
+            };
             let spread = self.random.random_range(0.85..1.15);
             self.ends
                 .push(RunEnd(at + work * spread, id.to_string(), run));
@@ -301,8 +331,9 @@
             };
             let now = self.at(at);
             self.hosts[run.host].0.finish(now, run.chosen.key, report);
+            let wanted = self.work.wanted;
             let window = self.window_at(run.sent_at);
-            if took <= WANTED {
+            if took <= wanted {
                 window.in_time += 1;
             } else {
                 window.late += 1;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -93,7 +93,7 @@
         let reported = load.map_or(-1, |load| i64::from(load.running + load.waiting));
         log::info!(
             target: "attempt",
-            "attempt ended; request={} server={} service={} address={} object={:x} load={:.1} warm={} \
+            "attempt ended; request={} server={} service={} address={} object={:x} load={:.1} affinity={} \
              expected_ms={} reported={reported} reused={} end={end} took_ms={} what={what}",
             self.request_id,
             chosen.record.id,
@@ -101,7 +101,7 @@
             chosen.record.address,
             self.object.unwrap_or_default(),
             chosen.load,
-            chosen.forecast.warm,
+            chosen.forecast.affinity,
             chosen.forecast.expected().as_millis(),
             self.reused.map_or("none", |reused| if reused { "yes" } else { "no" }),
             took.as_millis(),
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -251,15 +251,25 @@
 }
 
 fn log_refusal(request: &ForwardRequest, query: &ServerQuery<'_>, refusal: LoadRefusal) {
+    let soonest = refusal.soonest.map(|soonest| {
+        let forecast = soonest.forecast;
+        let pace = forecast.pace;
+        let expected_ms = forecast.expected().as_millis();
+        let wait_ms = (forecast.wait * 1e3).round();
+        format!(
+            " soonest_ms={expected_ms} affinity={} load={:.1} wait_ms={wait_ms} pace={pace:.2}",
+            forecast.affinity, soonest.load,
+        )
+    });
     log::info!(
         target: "refusal",
-        "no server taken; request={} service={} cause={} candidates={} soonest_ms={} wanted_ms={} \
-         left_ms={} tried={} spill={:.2}",
+        "no server taken; request={} service={} cause={} candidates={}{} wanted_ms={} left_ms={} \
+         tried={} spill={:.2}",
         request.id,
         request.service,
         refusal.cause,
         refusal.candidates,
-        refusal.soonest.as_millis(),
+        soonest.unwrap_or_default(),
         query.wanted.as_millis(),
         query.left.as_millis(),
         query.tried.len(),
