feat(director): entry hosts of a region agree on the share that leaves it

Cause: each of 90 hosts sees some 15 requests a second and moved its share alone; after 8 s the shares of one region's hosts lay between 0.13 and 0.96, so objects were warm on both sides. Change: a follow call carries the host's shares, its answer the mean of the region's hosts.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -276,6 +276,20 @@
             .map_or(0.0, |group| group.spill.share())
     }
 
+    /// Returns the shares of the requests for all services in use that leave this region.
+    pub fn spill_shares(&self) -> impl Iterator<Item = (&ids::ServiceName, f64)> {
+        let groups = self.groups.iter();
+        let moving = groups.filter(|(_, group)| group.spill.is_set());
+        moving.map(|(service, group)| (service, group.spill.share()))
+    }
+
+    /// Takes in the mean share that the hosts of this region have set for a service.
+    pub fn approach_share(&mut self, service: &str, mean: f64) {
+        if let Some(group) = self.groups.get_mut(service) {
+            group.spill.approach(mean);
+        }
+    }
+
     /// Returns the loads that backend servers reported a short time ago, for a dump.
     pub fn loads(&self, now: Instant) -> BTreeMap<ids::ServerId, f64> {
         let servers = self.servers.values();
--- a/crates/balance/src/spill.rs
+++ b/crates/balance/src/spill.rs
@@ -9,7 +9,7 @@
 use crate::settings::SHIFT_WINDOW;
 
 /// Part of the permitted shift that is used, as each host sees only its own requests.
-const SHIFT_USED: f64 = 0.6;
+const SHIFT_USED: f64 = 0.55;
 
 /// Time over which the urge to move is averaged.
 const URGE_MEMORY: Duration = Duration::from_millis(600);
@@ -30,7 +30,11 @@
 const MAX_LEAD: f64 = 0.05;
 
 /// How far the share may move at once.
-const MAX_MOVES: f64 = 0.03;
+const MAX_MOVES: f64 = 0.02;
+
+/// Part of the way to the mean of all hosts that the share moves each time the mean is told, some
+/// three times a second: hosts agree within a second or two.
+const MEAN_WEIGHT: f64 = 0.3;
 
 /// Rise of the share for one request that its region can't take.
 const STARVED_STEP: f64 = 0.005;
@@ -71,6 +75,18 @@
         self.share
     }
 
+    /// Tells whether a first request has set it.
+    pub fn is_set(&self) -> bool {
+        self.moved_at.is_some()
+    }
+
+    /// Moves the share towards the mean of all hosts of the region, which that doesn't change.
+    pub fn approach(&mut self, mean: f64) {
+        if self.is_set() {
+            self.share += (mean.clamp(0.0, 1.0) - self.share) * MEAN_WEIGHT;
+        }
+    }
+
     /// Notes the slots of the region that may be used, and what share would leave if all zones
     /// asked for the same; the first request starts with that.
     pub fn note_capacity(&mut self, now: Instant, capacity: f64, fair_share: f64) {
--- a/crates/balance/src/weigh.rs
+++ b/crates/balance/src/weigh.rs
@@ -22,7 +22,7 @@
 
 /// Load up to which a backend server relieves an owner, as a part of its slots: a busy service must
 /// not spend its slots on further copies.
-const RELIEF_LOAD: f64 = 0.75;
+const RELIEF_LOAD: f64 = 1.0;
 
 /// Backend servers on the side where an object is at home that a request for it may go to.
 const HOME_RANKS: usize = 2;
--- a/crates/balance/tests/load.rs
+++ b/crates/balance/tests/load.rs
@@ -90,18 +90,25 @@
     };
     let rates = ["east", "west", "south"].map(|region| (region, REGION_RATE));
     fleet.play(0.0, 30.0, &rates.into(), 289);
-    for w in &fleet.windows {
-        println!(
-            "DBG {} {} {} {} {} {:?}",
-            w.asked, w.in_time, w.late, w.refused, w.strange, w.ran
-        );
-    }
-    println!("DBG {:?}", fleet.spills());
     let late_half = total(&fleet.windows[8..15]);
     let share = late_half.in_time as f64 / late_half.asked as f64;
     assert!(share > 0.9, "{share:.2} in time: {late_half:?}");
 }
 
+/// Hosts of a region agree on how much of it leaves, though each sees few of its requests; else an
+/// object would be warm in several regions, or in none.
+#[test]
+fn hosts_of_a_region_agree_on_what_leaves_it() {
+    let hosts: Vec<_> = HOSTS.repeat(10);
+    let mut fleet = PlayedFleet::new(&hosts, &SERVERS, SLOTS, KEEPS);
+    let rates = ["east", "west", "south"].map(|region| (region, 140.0));
+    fleet.play(0.0, 30.0, &rates.into(), OBJECTS);
+    let shares = fleet.shares("south");
+    let least = shares.iter().copied().fold(1.0, f64::min);
+    let most = shares.iter().copied().fold(0.0, f64::max);
+    assert!(most - least <= 0.15, "{shares:.2?}");
+}
+
 /// Twice what warm servers can do: what is taken is answered, and most of it in time.
 #[test]
 fn an_overload_is_refused_rather_than_answered_late() {
@@ -130,23 +137,6 @@
     fleet.play(0.0, 14.0, &rates(60.0), objects);
     fleet.play(14.0, 30.0, &rates(200.0), objects);
     fleet.play(30.0, 44.0, &rates(60.0), objects);
-    for w in &fleet.windows {
-        let g = |r: &str| {
-            w.ran
-                .get(&("south".to_string(), r.to_string()))
-                .copied()
-                .unwrap_or(0)
-        };
-        println!(
-            "DBG {} {} {} left {:.3} refused {}",
-            g("south"),
-            g("east"),
-            g("west"),
-            1.0 - g("south") as f64 / (g("south") + g("east") + g("west")) as f64,
-            w.refused
-        );
-    }
-    println!("DBG {:?}", fleet.spills());
     for pair in fleet.windows.windows(2) {
         let moved = moved_share("south", &pair[0], &pair[1]);
         assert!(
--- a/crates/balance/tests/played/mod.rs
+++ b/crates/balance/tests/played/mod.rs
@@ -35,6 +35,9 @@
     pub left: f64,
 }
 
+/// Seconds between two exchanges of shares; those of a host's calls to control.
+const EXCHANGE_INTERVAL: f64 = 0.35;
+
 pub const SHORT_READS: PlayedWork = PlayedWork {
     warm: 0.075,
     strange: 0.25,
@@ -156,6 +159,7 @@
     pub work: PlayedWork,
     pub window: f64,
     pub windows: Vec<PlayedWindow>,
+    exchanged_at: f64,
     servers: BTreeMap<String, PlayedServer>,
     ends: BinaryHeap<RunEnd>,
     start: Instant,
@@ -198,6 +202,7 @@
             work: SHORT_READS,
             window: 2.0,
             windows: Vec::new(),
+            exchanged_at: 0.0,
             servers: played.collect(),
             ends: BinaryHeap::new(),
             start,
@@ -205,12 +210,6 @@
         }
     }
 
-    pub fn spills(&self) -> Vec<f64> {
-        self.hosts
-            .iter()
-            .map(|h| h.0.spill_share(SERVICE))
-            .collect()
-    }
     fn at(&self, seconds: f64) -> Instant {
         self.start + Duration::from_secs_f64(seconds)
     }
@@ -239,11 +238,39 @@
         arrivals.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (at, region) in arrivals {
             self.finish_until(at);
+            while self.exchanged_at + EXCHANGE_INTERVAL <= at {
+                self.exchanged_at += EXCHANGE_INTERVAL;
+                self.exchange_shares();
+            }
             self.arrive(at, region, objects);
         }
         self.finish_until(to);
     }
 
+    /// Tells each host the mean share of its region's hosts.
+    fn exchange_shares(&mut self) {
+        let mut sums: BTreeMap<String, (f64, f64)> = BTreeMap::new();
+        for (balancer, region) in &self.hosts {
+            for (_, share) in balancer.spill_shares() {
+                let sum = sums.entry(region.clone()).or_default();
+                *sum = (sum.0 + share, sum.1 + 1.0);
+            }
+        }
+        for (balancer, region) in &mut self.hosts {
+            if let Some((sum, hosts)) = sums.get(region) {
+                balancer.approach_share(SERVICE, sum / hosts);
+            }
+        }
+    }
+
+    /// Returns the shares of the requests that leave a region, by host.
+    pub fn shares(&self, region: &str) -> Vec<f64> {
+        let hosts = self.hosts.iter().filter(|(_, own)| own == region);
+        hosts
+            .map(|(balancer, _)| balancer.spill_share(SERVICE))
+            .collect()
+    }
+
     fn arrive(&mut self, at: f64, region: &str, objects: u64) {
         let local: Vec<_> = (0..self.hosts.len())
             .filter(|host| self.hosts[*host].1 == region)
--- a/crates/director/src/call.rs
+++ b/crates/director/src/call.rs
@@ -25,7 +25,12 @@
         message: Box<Message>,
     },
     /// Another replica told what it heard.
-    Heard(Box<HeardReport>),
+    Heard {
+        /// The replica.
+        from: ReplicaId,
+        /// What it heard.
+        report: Box<HeardReport>,
+    },
     /// The disk finished or failed.
     Disk(DiskReport),
     /// Bring a command into the log, where this replica leads.
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -23,6 +23,7 @@
 use crate::message::{FollowReply, FollowRequest, ProposeOutcome, SiteReading};
 use crate::metrics::DirectorMetrics;
 use crate::settings::DirectorSettings;
+use crate::shares::ShareTable;
 
 /// Time between two heartbeats of a leader; a third of a slow round between regions is 20 ms.
 const HEARTBEAT: Duration = Duration::from_millis(150);
@@ -76,6 +77,7 @@
     state: FleetState,
     changes: ChangeLog,
     liveness: LivenessTable,
+    shares: ShareTable,
     /// When each backend server's latest announcement was applied here.
     announced_at: BTreeMap<ids::ServerId, Instant>,
     outcomes: BTreeMap<LogIndex, CommandOutcome>,
@@ -126,6 +128,7 @@
             settings,
             metrics,
             liveness: LivenessTable::new(),
+            shares: ShareTable::default(),
             announced_at: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             pending: HashMap::new(),
@@ -178,7 +181,11 @@
     pub fn handle(&mut self, now: Instant, call: CoreCall) {
         match call {
             CoreCall::Receive { from, message } => self.receive(now, from, *message),
-            CoreCall::Heard(report) => self.liveness.merge(now, *report),
+            CoreCall::Heard { from, mut report } => {
+                let shares = std::mem::take(&mut report.shares);
+                self.shares.merge(now, from, shares);
+                self.liveness.merge(now, *report);
+            }
             CoreCall::Disk(DiskReport::Synced { token, took }) => {
                 self.metrics.record_sync(took);
                 self.feed(now, Event::Persisted { token });
@@ -431,9 +438,12 @@
     fn follow(
         &mut self,
         now: Instant,
-        request: FollowRequest,
+        mut request: FollowRequest,
         reply: oneshot::Sender<FollowReply>,
     ) {
+        let shares = std::mem::take(&mut request.shares);
+        let host = &request.host.name;
+        self.shares.hear_host(now, host, &request.region, shares);
         if self.liveness.hear_host(now, &request.host) {
             let host = &request.host;
             log::info!(
@@ -483,6 +493,7 @@
                 cold_digest,
                 hosts: (!known).then(|| hosts.clone()),
                 hosts_digest,
+                shares: self.shares.means(now, &request.region),
                 replicas: self.replicas(),
             };
             self.metrics.count_follow();
@@ -501,7 +512,8 @@
     }
 
     fn report(&mut self, now: Instant) {
-        let report = self.liveness.take_report(now);
+        let mut report = self.liveness.take_report(now);
+        report.shares = self.shares.report(now);
         if report.servers.is_empty() && report.hosts.is_empty() {
             return;
         }
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod metrics;
 pub mod service;
 pub mod settings;
+pub mod shares;
--- a/crates/director/src/message.rs
+++ b/crates/director/src/message.rs
@@ -73,11 +73,37 @@
     pub ready: bool,
 }
 
+/// Share of the requests for a service that leaves the region of who tells it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SpillShare {
+    /// Service.
+    pub service: ids::ServiceName,
+    /// Share, from 0 to 1.
+    pub share: f32,
+}
+
+/// Shares of several entry hosts of a region, added up.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RegionShare {
+    /// Region.
+    pub region: ids::RegionName,
+    /// Service.
+    pub service: ids::ServiceName,
+    /// Sum of the shares.
+    pub sum: f64,
+    /// Number of entry hosts.
+    pub hosts: u32,
+}
+
 /// A call of an entry host.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct FollowRequest {
     /// The caller.
     pub host: HostStatus,
+    /// Region of its availability zone.
+    pub region: ids::RegionName,
+    /// Shares of its requests that leave the region.
+    pub shares: Vec<SpillShare>,
     /// Revision that it has; `None` where it has nothing.
     pub revision: Option<ids::Revision>,
     /// Digest of the list of entry hosts that it has.
@@ -104,6 +130,8 @@
     pub hosts: Option<Vec<HostStatus>>,
     /// Digest of that list.
     pub hosts_digest: u64,
+    /// Mean shares of the requests that leave the caller's region, by all its hosts.
+    pub shares: Vec<SpillShare>,
     /// Replicas that the caller may ask.
     pub replicas: Vec<ReplicaId>,
 }
@@ -137,4 +165,6 @@
     pub servers: Vec<HeardServer>,
     /// Entry hosts.
     pub hosts: Vec<HeardHost>,
+    /// Shares of the entry hosts that called.
+    pub shares: Vec<RegionShare>,
 }
--- a/crates/director/src/service.rs
+++ b/crates/director/src/service.rs
@@ -62,7 +62,7 @@
                 Some(MeshReply::Taken)
             }
             MeshRequest::Heard(report) => {
-                core.offer(CoreCall::Heard(report));
+                core.offer(CoreCall::Heard { from, report });
                 Some(MeshReply::Taken)
             }
             MeshRequest::Propose(command) => {
--- /dev/null
+++ b/crates/director/src/shares.rs
@@ -0,0 +1,110 @@
+//! The shares of requests that leave each region, as its entry hosts set them.
+//!
+//! Each entry host sees few of its region's requests. Where hosts disagree on which objects leave,
+//! those are warm in no region; so each is told the mean and moves towards it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use fleet::ids;
+use quorum::ids::ReplicaId;
+
+use crate::message::{RegionShare, SpillShare};
+
+/// Age up to which a share counts; four calls of a host, or of reports between replicas.
+const SHARE_LIFE: Duration = Duration::from_millis(1_600);
+
+/// Sum of shares and the number of entry hosts that set them.
+type ShareSum = (f64, u32);
+
+#[derive(Debug)]
+struct HostShares {
+    region: ids::RegionName,
+    shares: Vec<SpillShare>,
+    heard_at: Instant,
+}
+
+#[derive(Debug)]
+struct ReplicaShares {
+    shares: Vec<RegionShare>,
+    heard_at: Instant,
+}
+
+/// Shares that were heard here and at the other replicas.
+#[derive(Debug, Default)]
+pub struct ShareTable {
+    hosts: HashMap<String, HostShares>,
+    replicas: HashMap<ReplicaId, ReplicaShares>,
+}
+
+impl ShareTable {
+    /// Notes the shares of an entry host that called here.
+    pub fn hear_host(&mut self, now: Instant, host: &str, region: &str, shares: Vec<SpillShare>) {
+        let shares = HostShares {
+            region: region.to_string(),
+            shares,
+            heard_at: now,
+        };
+        self.hosts.insert(host.to_string(), shares);
+    }
+
+    /// Notes what another replica heard.
+    pub fn merge(&mut self, now: Instant, from: ReplicaId, shares: Vec<RegionShare>) {
+        let shares = ReplicaShares {
+            shares,
+            heard_at: now,
+        };
+        self.replicas.insert(from, shares);
+    }
+
+    /// Returns the sums of what was heard here, for the other replicas.
+    pub fn report(&mut self, now: Instant) -> Vec<RegionShare> {
+        self.hosts
+            .retain(|_, host| now < host.heard_at + SHARE_LIFE);
+        self.replicas
+            .retain(|_, replica| now < replica.heard_at + SHARE_LIFE);
+        let mut sums: BTreeMap<(&str, &str), ShareSum> = BTreeMap::new();
+        for host in self.hosts.values() {
+            for share in &host.shares {
+                let sum = sums.entry((&host.region, &share.service)).or_default();
+                sum.0 += f64::from(share.share);
+                sum.1 += 1;
+            }
+        }
+        let shares = sums
+            .into_iter()
+            .map(|((region, service), sum)| RegionShare {
+                region: region.to_string(),
+                service: service.to_string(),
+                sum: sum.0,
+                hosts: sum.1,
+            });
+        shares.collect()
+    }
+
+    /// Returns the mean shares of a region.
+    pub fn means(&self, now: Instant, region: &str) -> Vec<SpillShare> {
+        let mut sums: BTreeMap<&str, ShareSum> = BTreeMap::new();
+        let hosts = self.hosts.values();
+        for host in hosts.filter(|host| host.region == region && now < host.heard_at + SHARE_LIFE) {
+            for share in &host.shares {
+                let sum = sums.entry(&share.service).or_default();
+                sum.0 += f64::from(share.share);
+                sum.1 += 1;
+            }
+        }
+        let replicas = self.replicas.values();
+        for replica in replicas.filter(|replica| now < replica.heard_at + SHARE_LIFE) {
+            for share in replica.shares.iter().filter(|share| share.region == region) {
+                let sum = sums.entry(&share.service).or_default();
+                sum.0 += share.sum;
+                sum.1 += share.hosts;
+            }
+        }
+        let means = sums.into_iter().map(|(service, (sum, hosts))| SpillShare {
+            service: service.to_string(),
+            share: (sum / f64::from(hosts.max(1))) as f32,
+        });
+        means.collect()
+    }
+}
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -9,6 +9,7 @@
 use director::core::CONFIRMED_LIMIT;
 use director::mesh::MeshLinks;
 use director::message::{FollowReply, FollowRequest, HostStatus, MeshReply, MeshRequest};
+use fleet::ids;
 use quorum::ids::ReplicaId;
 use rand::seq::SliceRandom;
 
@@ -65,6 +66,8 @@
         let mesh = MeshLinks::new(0);
         let request = MeshRequest::Follow(Box::new(FollowRequest {
             host: host_status(settings, false),
+            region: region(settings),
+            shares: Vec::new(),
             revision: None,
             hosts_digest: 0,
             cold_digest: 0,
@@ -83,6 +86,8 @@
         let (revision, hosts_digest, cold_digest) = self.state.known();
         let request = MeshRequest::Follow(Box::new(FollowRequest {
             host: host_status(&self.settings, self.state.is_ready()),
+            region: region(&self.settings),
+            shares: self.state.spill_shares(),
             revision,
             hosts_digest,
             cold_digest,
@@ -172,3 +177,7 @@
         ready,
     }
 }
+
+fn region(settings: &GatewaySettings) -> ids::RegionName {
+    settings.balance.region(&settings.balance.zone).to_string()
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,7 +9,7 @@
 use arc_swap::ArcSwap;
 use balance::balancer::LoadBalancer;
 use balance::settings::BalanceSettings;
-use director::message::FollowReply;
+use director::message::{FollowReply, SpillShare};
 use fleet::change::{FleetUpdate, FleetView};
 use fleet::ids;
 use fleet::site::{RouteSpec, SiteConfig};
@@ -123,6 +123,16 @@
         )
     }
 
+    /// Returns the shares of requests that leave this region, for the other hosts.
+    pub fn spill_shares(&self) -> Vec<SpillShare> {
+        let balancer = self.balancer();
+        let shares = balancer.spill_shares().map(|(service, share)| SpillShare {
+            service: service.clone(),
+            share: share as f32,
+        });
+        shares.collect()
+    }
+
     /// Returns the state for a dump.
     pub fn dump(&self) -> GatewayDump {
         let now = Instant::now();
@@ -194,6 +204,9 @@
         for (id, period) in &reply.cold {
             balancer.set_cold(now, id, *period);
         }
+        for mean in &reply.shares {
+            balancer.approach_share(&mean.service, f64::from(mean.share));
+        }
         knowledge.cold_digest = reply.cold_digest;
         if let Some(hosts) = reply.hosts {
             let ready = hosts.into_iter().filter(|host| host.ready);
