--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -13,7 +13,7 @@
 /// Time after which half of a usual load is no longer taken as true.
 const USUAL_HALF_LIFE: Duration = Duration::from_secs(1);
 
-/// Age up to which a report tells of the load of a region.
+/// Age up to which a report counts at all.
 const REPORT_LIFE: Duration = Duration::from_secs(2);
 
 /// Weight of the latest request in the averages of time and failures.
@@ -172,9 +172,19 @@
 
     /// Returns the requests that it had by its latest report, where that is not old.
     pub fn reported_load(&self, now: Instant) -> Option<f64> {
-        let reported_at = self.reported_at?;
-        let fresh = now < reported_at + REPORT_LIFE;
-        fresh.then_some(self.others + f64::from(self.outstanding))
+        (self.report_trust(now) > 0.0).then_some(self.others + f64::from(self.outstanding))
+    }
+
+    /// Returns how much its latest report still counts, from 0 to 1.
+    pub fn report_trust(&self, now: Instant) -> f64 {
+        let Some(reported_at) = self.reported_at else {
+            return 0.0;
+        };
+        if now >= reported_at + REPORT_LIFE {
+            return 0.0;
+        }
+        let age = now.saturating_duration_since(reported_at).as_secs_f64();
+        0.5_f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
     }
 
     /// Returns the requests that it is taken to have, those of other hosts included. `typical` is
--- a/crates/balance/src/weigh.rs
+++ b/crates/balance/src/weigh.rs
@@ -20,6 +20,9 @@
 /// What leaving the zone counts, as time: bytes between zones are dear.
 const ZONE_PENALTY: Duration = Duration::from_millis(12);
 
+/// Weight of no load at all beside the reports, as a part of all slots.
+const UNKNOWN_WEIGHT: f64 = 0.01;
+
 /// Load up to which a backend server relieves an owner, as a part of its slots: a busy service must
 /// not spend its slots on further copies.
 const RELIEF_LOAD: f64 = 1.0;
@@ -74,16 +77,19 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct SideLoad {
     slots: f64,
-    /// Slots of those that reported their load a short time ago.
+    /// Slots of those that reported their load, weighed by the age of the reports.
     known: f64,
+    /// Their load, weighed alike.
     load: f64,
 }
 
 impl SideLoad {
     /// Returns the load as a part of the slots.
     fn share(&self) -> f64 {
-        if self.known > 0.0 {
-            self.load / self.known
+        // Old reports alone say little: a region whose requests were all refused is idle soon.
+        let known = self.known + self.slots * UNKNOWN_WEIGHT;
+        if known > 0.0 {
+            self.load / known
         } else {
             0.0
         }
@@ -291,8 +297,9 @@
             let slots = f64::from(server.record.slots);
             side.slots += slots;
             if let Some(load) = server.reported_load(now) {
-                side.known += slots;
-                side.load += load;
+                let trust = server.report_trust(now);
+                side.known += slots * trust;
+                side.load += load * trust;
             }
         }
         sides
