--- a/crates/balance/src/weigh.rs
+++ b/crates/balance/src/weigh.rs
@@ -1,6 +1,5 @@
 //! Weighs the backend servers that a request may go to.
 
-use std::cmp::Ordering;
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3;
@@ -23,6 +22,10 @@
 /// Weight of no load at all beside the reports, as a part of all slots.
 const UNKNOWN_WEIGHT: f64 = 0.01;
 
+/// What relief counts, as a part of an owner's time: a further copy of an object drives another one
+/// out.
+const RELIEF_BIAS: f64 = 0.5;
+
 /// Load up to which a backend server relieves an owner, as a part of its slots: a busy service must
 /// not spend its slots on further copies.
 const RELIEF_LOAD: f64 = 1.0;
@@ -63,16 +66,6 @@
     pub(crate) cold: bool,
 }
 
-impl ServerCost {
-    /// Returns the order of preference: an owner that answers in time goes before those that
-    /// relieve it.
-    fn compare(&self, other: &Self) -> Ordering {
-        let relief = |cost: &Self| cost.forecast.affinity == ObjectAffinity::Relief;
-        let owners = relief(self).cmp(&relief(other));
-        owners.then(self.cost.total_cmp(&other.cost))
-    }
-}
-
 /// Slots and load of the backend servers on one side that may be used.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct SideLoad {
@@ -218,6 +211,9 @@
         if server.record.zone != self.settings.zone {
             cost += ZONE_PENALTY.as_secs_f64();
         }
+        if affinity == ObjectAffinity::Relief {
+            cost += group.work(now, ObjectAffinity::Owner) * RELIEF_BIAS;
+        }
         cost += work * 2.0 * server.failures();
         Some(ServerCost {
             key,
@@ -237,6 +233,9 @@
         query: &ServerQuery<'_>,
         [near, far]: &[SideLoad; 2],
     ) -> bool {
+        if !query.homes.is_empty() && !query.homes.contains(&self.region) {
+            return true;
+        }
         let fair_share = self.fair_share(near, far);
         // Where the others are as full, more that leaves is no relief.
         let urge = (near.share() - far.share().max(SPILL_LOAD)) / SPILL_RANGE;
@@ -265,12 +264,12 @@
         };
         let cheapest = |local: bool| {
             let fitting = costs.iter().filter(fits).filter(|cost| cost.local == local);
-            fitting.min_by(|a, b| a.compare(b)).copied()
+            fitting.min_by(|a, b| a.cost.total_cmp(&b.cost)).copied()
         };
         let (near, far) = (cheapest(true), cheapest(false));
         if !query.tried.is_empty() {
             let best = [near, far].into_iter().flatten();
-            return best.min_by(|a, b| a.compare(b));
+            return best.min_by(|a, b| a.cost.total_cmp(&b.cost));
         }
         let spill = &mut self.group(query.service).spill;
         let best = match (near, far) {
@@ -278,7 +277,7 @@
             (None, Some(far)) if spill.starve(query.object) => Some(far),
             (near, _) => near,
         };
-        if let Some(best) = best {
+        if let Some(best) = best.filter(|_| query.homes.is_empty()) {
             spill.note_run(!best.local);
         }
         best
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -83,6 +83,23 @@
     assert_eq!(refusal.cause, RefusalCause::NoServer);
 }
 
+/// The pace at which requests may change their region is not for those that never had a choice.
+#[test]
+fn requests_at_home_elsewhere_go_there_at_once() {
+    let now = Instant::now();
+    let servers = [record("s1", "east-a", 400), record("s2", "west-a", 400)];
+    let mut balancer = balancer(now, &servers);
+    let homes = ["west".to_string()];
+    for object in 0..100 {
+        let query = ServerQuery {
+            homes: &homes,
+            ..query(Some(object << 40))
+        };
+        let chosen = balancer.choose(now, &query).unwrap();
+        assert_eq!(chosen.record.id, "s2");
+    }
+}
+
 #[rstest]
 #[case::unreachable(AttemptEnd::Unreachable)]
 #[case::late(AttemptEnd::Late)]
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -24,7 +24,7 @@
 const KEPT_IDLE: Duration = Duration::from_secs(8);
 
 /// Part of the time that a backend server says it keeps an idle connection.
-const KEPT_SHARE: f64 = 0.7;
+const KEPT_SHARE: f64 = 0.9;
 
 /// Time without traffic up to which a connection is taken to be alive for a request that must
 /// not be sent twice.
