--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -108,11 +108,6 @@
         self.hosts.len().max(1)
     }
 
-    /// Returns the backend servers that are known.
-    pub fn servers(&self) -> impl Iterator<Item = &TrackedServer> {
-        self.servers.values()
-    }
-
     /// Counts a request of a client to a service.
     pub fn note_request(&mut self, service: &str) {
         let hosts = self.hosts();
--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -35,9 +35,4 @@
         }
         there
     }
-
-    /// Returns the attempts that are left.
-    pub fn left(&self) -> f64 {
-        self.tokens
-    }
 }
--- a/crates/balance/src/spill.rs
+++ b/crates/balance/src/spill.rs
@@ -1,8 +1,9 @@
 //! The share of a region's requests that runs in other regions.
 //!
-//! The share rises while the region is full and falls while it has room, at a bounded pace:
-//! moving traffic quickly makes caches cold and regions oscillate. After a change of the region's
-//! own capacity it may move faster, as its traffic has to go somewhere.
+//! The share rises while the region has more load than the others and falls while it has less, at a
+//! bounded pace: moving traffic quickly makes caches cold and regions oscillate. After a change of
+//! the region's own capacity it may move faster, as its traffic has to go somewhere. Hosts of a
+//! region move towards the mean of their shares, as each sees few of its requests.
 
 use std::time::{Duration, Instant};
 
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -212,11 +212,6 @@
         self.answer_followers(now);
     }
 
-    /// Tells whether this replica leads.
-    pub fn leads(&self) -> bool {
-        self.machine.role() == Role::Leader
-    }
-
     /// Tells whether the disk failed, so that the process must start anew.
     pub fn has_failed(&self) -> bool {
         self.machine.role() == Role::Failed
