--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -13,12 +13,14 @@
 //! | [`budget`] | the bound on second attempts |
 //! | [`settings`] | bounds and the place of the host |
 //!
-//! Within the crate, `group` is what is known of a service and `weigh` how its servers are weighed.
+//! Within the crate, `group` is what is known of a service, `region` what leaves this host's region
+//! and `weigh` how backend servers are weighed.
 
 pub mod balancer;
 pub mod budget;
 mod group;
 pub mod query;
+mod region;
 pub mod server;
 pub mod settings;
 pub mod spill;
--- a/crates/balance/src/weigh.rs
+++ b/crates/balance/src/weigh.rs
@@ -9,6 +9,7 @@
 use crate::query::{
     LoadRefusal, ObjectAffinity, RefusalCause, ServerKey, ServerQuery, SoonestServer, TimeForecast,
 };
+use crate::region::SideLoad;
 
 /// Time to a backend server in the same region, there and back.
 const NEAR_ROUND: Duration = Duration::from_millis(3);
@@ -19,9 +20,6 @@
 /// What leaving the zone counts, as time: bytes between zones are dear.
 const ZONE_PENALTY: Duration = Duration::from_millis(12);
 
-/// Weight of no load at all beside the reports, as a part of all slots.
-const UNKNOWN_WEIGHT: f64 = 0.01;
-
 /// What relief counts, as a part of an owner's time: a further copy of an object drives another one
 /// out.
 const RELIEF_BIAS: f64 = 0.5;
@@ -36,13 +34,6 @@
 /// Backend servers on the other side that it may go to.
 const AWAY_RANKS: usize = 1;
 
-/// Load, as a part of all slots, beyond which a region's requests leave it where others have more
-/// room.
-const SPILL_LOAD: f64 = 0.6;
-
-/// Difference in load at which the share that leaves moves at its full pace.
-const SPILL_RANGE: f64 = 0.25;
-
 /// Part of the permitted rate of a cold backend server that this host uses: less than half, so that
 /// two hosts that both take themselves for its owner stay below its bound.
 const COLD_RATE_USED: f64 = 0.47;
@@ -66,29 +57,6 @@
     pub(crate) cold: bool,
 }
 
-/// Slots and load of the backend servers on one side that may be used.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct SideLoad {
-    slots: f64,
-    /// Slots of those that reported their load, weighed by the age of the reports.
-    known: f64,
-    /// Their load, weighed alike.
-    load: f64,
-}
-
-impl SideLoad {
-    /// Returns the load as a part of the slots.
-    fn share(&self) -> f64 {
-        // Old reports alone say little: a region whose requests were all refused is idle soon.
-        let known = self.known + self.slots * UNKNOWN_WEIGHT;
-        if known > 0.0 {
-            self.load / known
-        } else {
-            0.0
-        }
-    }
-}
-
 impl LoadBalancer {
     /// Takes one request to a cold backend server where its rate permits.
     pub(crate) fn take_cold(&self, now: Instant, key: ServerKey) -> bool {
@@ -225,31 +193,6 @@
         })
     }
 
-    /// Moves the share of requests that leave this region, and tells whether one that was not sent
-    /// anywhere yet is among them.
-    pub(crate) fn leaves(
-        &mut self,
-        now: Instant,
-        query: &ServerQuery<'_>,
-        [near, far]: &[SideLoad; 2],
-    ) -> bool {
-        if !query.homes.is_empty() && !query.homes.contains(&self.region) {
-            return true;
-        }
-        let fair_share = self.fair_share(near, far);
-        // Where the others are as full, more that leaves is no relief.
-        let urge = (near.share() - far.share().max(SPILL_LOAD)) / SPILL_RANGE;
-        let max_shift = self.settings.max_shift;
-        let spill = &mut self.group(query.service).spill;
-        spill.note_capacity(now, near.slots, fair_share);
-        spill.note_urge(now, urge, max_shift);
-        if query.tried.is_empty() {
-            spill.decide(query.object)
-        } else {
-            spill.leaves(query.object)
-        }
-    }
-
     /// Returns the best of the weighed backend servers that can answer in time.
     pub(crate) fn best(
         &mut self,
@@ -283,45 +226,6 @@
         best
     }
 
-    /// Returns slots and load of this region and of the others.
-    pub(crate) fn side_loads(&self, now: Instant, service: &str) -> [SideLoad; 2] {
-        let keys = self.groups.get(service).map(|group| &group.servers);
-        let mut sides = [SideLoad::default(); 2];
-        for key in keys.into_iter().flatten() {
-            let server = &self.servers[*key];
-            if !server.takes_work() || server.is_ejected(now) {
-                continue;
-            }
-            let side = &mut sides[usize::from(server.region != self.region)];
-            let slots = f64::from(server.record.slots);
-            side.slots += slots;
-            if let Some(load) = server.reported_load(now) {
-                let trust = server.report_trust(now);
-                side.known += slots * trust;
-                side.load += load * trust;
-            }
-        }
-        sides
-    }
-
-    /// Returns the share of this region's requests that would leave it if all zones asked for the
-    /// same.
-    fn fair_share(&self, near: &SideLoad, far: &SideLoad) -> f64 {
-        let zones = &self.settings.regions;
-        let own = zones
-            .values()
-            .filter(|region| **region == self.region)
-            .count();
-        let demand = own as f64 / zones.len().max(1) as f64;
-        let all = near.slots + far.slots;
-        let fair = if all > 0.0 {
-            near.slots / (all * demand)
-        } else {
-            1.0
-        };
-        (1.0 - fair).clamp(0.0, 1.0)
-    }
-
     /// Returns why no backend server was taken.
     pub(crate) fn refusal(&self, query: &ServerQuery<'_>, costs: &[ServerCost]) -> LoadRefusal {
         let soonest = costs.iter().map(|cost| SoonestServer {
