--- a/crates/store/src/segment.rs
+++ b/crates/store/src/segment.rs
@@ -76,14 +76,22 @@
     }
 
     /// Drops what a snapshot holds, and all else where the log doesn't agree with the snapshot.
+    ///
+    /// The log agrees where it has the snapshot's last entry, or begins right behind it: the file
+    /// that ended with that entry may be gone.
     pub fn start_after(&mut self, index: ids::LogIndex, term: ids::Term) {
         if index <= self.base {
             return;
         }
-        let agrees = self
+        let begins_behind = self
             .entries
-            .iter()
-            .any(|entry| entry.index == index && entry.term == term);
+            .first()
+            .is_some_and(|entry| entry.index == index + 1);
+        let agrees = begins_behind
+            || self
+                .entries
+                .iter()
+                .any(|entry| entry.index == index && entry.term == term);
         if agrees {
             self.entries.retain(|entry| entry.index > index);
         } else {
--- a/crates/store/tests/log_replay.rs
+++ b/crates/store/tests/log_replay.rs
@@ -23,6 +23,8 @@
 #[case::snapshot_of_all(vec![append(1), append(2), snapshot(2)], 2, &[])]
 #[case::snapshot_ahead(vec![append(1), snapshot(9), append(10)], 9, &[10])]
 #[case::two_snapshots(vec![append(1), append(2), snapshot(1), append(3), snapshot(3), append(4)], 3, &[4])]
+#[case::snapshot_at_a_files_end(vec![append(1), append(2), snapshot(1), append(3), snapshot(2)], 2, &[3])]
+#[case::appended_after_it(vec![append(1), append(2), snapshot(1), append(3), snapshot(2), append(4)], 2, &[3, 4])]
 #[case::older_snapshot_ignored(vec![append(1), append(2), snapshot(2), snapshot(1)], 2, &[])]
 fn a_restart_reads_back_what_was_written(
     #[case] writes: Vec<PersistWrite>,
