refactor: a rewound stream is two library halves joined; metrics of replicas stand once

RewoundStream repeated forward's pass-through of writes; a chain of the bytes read and the stream, joined with the stream for writes, does the same. ControlMetrics and DirectorMetrics had the same role, term and sync metrics; both hold telemetry's ReplicaMetrics now. Names and values are unchanged.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -190,7 +190,7 @@
             Effect::Answer { request, outcome } => self.answer(request, &outcome),
             Effect::RoleChanged { role, term, leader } => {
                 log::info!(target: "quorum", "{role} in term {term}, leader {leader:?}");
-                self.metrics.set_role(role, term);
+                self.metrics.replica.set_role(role == Role::Leader, term);
                 self.change_role(now, role, term);
             }
         }
@@ -212,7 +212,7 @@
     fn take_report(&mut self, now: Instant, report: DiskReport) {
         match report {
             DiskReport::Synced { token, took } => {
-                self.metrics.record_sync(took);
+                self.metrics.replica.record_sync(took);
                 self.feed(now, Event::Persisted { token });
             }
             DiskReport::Failed(_) => self.feed(now, Event::StorageFailed),
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -187,7 +187,7 @@
                 self.liveness.merge(now, *report);
             }
             CoreCall::Disk(DiskReport::Synced { token, took }) => {
-                self.metrics.record_sync(took);
+                self.metrics.replica.record_sync(took);
                 self.feed(now, Event::Persisted { token });
             }
             CoreCall::Disk(DiskReport::Failed(_)) => self.feed(now, Event::StorageFailed),
@@ -253,7 +253,7 @@
     }
 
     fn change_role(&mut self, now: Instant, role: Role, term: Term, leader: Option<ReplicaId>) {
-        self.metrics.set_role(role, term);
+        self.metrics.replica.set_role(role == Role::Leader, term);
         self.leads_since = (role == Role::Leader).then_some(now);
         let leader = leader.map(|leader| address::address_of(leader).to_string());
         let leader = leader.unwrap_or_default();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! Connections of clients and their planned stop.
 
 use std::convert::Infallible;
+use std::io::Cursor;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -19,6 +20,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -27,7 +29,7 @@
 use crate::forwarder::{ForwardEnd, RequestForwarder};
 use crate::pipeline::{self, PipelineEnd};
 use crate::request::{self, ForwardRequest};
-use crate::stream::{ClientStream, RewoundStream};
+use crate::stream::ClientStream;
 
 /// Longest time that a client takes no byte of its answer.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -156,7 +158,8 @@
             })
         });
         // The library's limit on the head also runs while a connection is idle.
-        let io = TokioIo::new(RewoundStream::new(read, stream.clone()));
+        let rewound = Cursor::new(read).chain(stream.clone());
+        let io = TokioIo::new(tokio::io::join(rewound, stream.clone()));
         let mut http = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 
-use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -130,62 +129,3 @@
         Poll::Ready(socket2::SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write))
     }
 }
-
-/// A client's socket, with bytes that were read from it before.
-#[derive(Debug)]
-pub struct RewoundStream {
-    read: Bytes,
-    stream: ClientStream,
-}
-
-impl RewoundStream {
-    /// Puts bytes before those that are still to come.
-    pub fn new(read: Bytes, stream: ClientStream) -> Self {
-        Self { read, stream }
-    }
-}
-
-impl AsyncRead for RewoundStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.read.is_empty() {
-            return Pin::new(&mut self.stream).poll_read(cx, buffer);
-        }
-        let count = self.read.len().min(buffer.remaining());
-        buffer.put_slice(&self.read.split_to(count));
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for RewoundStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buffer)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
