refactor(balance): one decay of old observations; (director): mean shares once for all followers due

The same half-life formula stood in four places, a report's age was worked out twice for each server and request, and RegionSpill and AttemptBudget had constructors beside their defaults. The director added up the shares of all hosts once for each follower that was answered; now once for all of them.

--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -9,18 +9,14 @@
 /// Share of the slack that all hosts together may hold.
 const SLACK_USED: f64 = 0.6;
 
-/// Second attempts to one service that this host may still send.
+/// Second attempts to one service that this host may still send. At first there is none: a host that
+/// starts again must not have its part twice.
 #[derive(Debug, Clone, Default)]
 pub struct AttemptBudget {
     tokens: f64,
 }
 
 impl AttemptBudget {
-    /// Creates a budget without any: a host that starts again must not have its part twice.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
     /// Earns a part of an attempt by a request.
     pub fn deposit(&mut self, ratio: f64, slack: f64, hosts: usize) {
         let most = (slack * SLACK_USED / hosts.max(1) as f64).max(1.0);
--- a/crates/balance/src/group.rs
+++ b/crates/balance/src/group.rs
@@ -5,6 +5,7 @@
 use strum::EnumCount;
 
 use crate::budget::AttemptBudget;
+use crate::decay;
 use crate::query::{ObjectAffinity, ServerKey};
 use crate::spill::RegionSpill;
 
@@ -42,14 +43,6 @@
         self.noted_at = Some(now);
     }
 
-    /// Returns the part of what was seen that still counts.
-    fn trust(&self, now: Instant, half_life: Duration) -> f64 {
-        self.noted_at.map_or(0.0, |noted_at| {
-            let age = now.saturating_duration_since(noted_at);
-            0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
-        })
-    }
-
     fn seen(&self) -> Option<f64> {
         (self.seen > 0).then_some(self.seconds)
     }
@@ -88,8 +81,10 @@
             }
             ObjectAffinity::Relief => {
                 let owner = self.work(now, ObjectAffinity::Owner);
-                let trust = average.trust(now, RELIEF_HALF_LIFE);
-                owner + (average.seconds - owner).max(0.0) * trust
+                let trust = average.noted_at.map_or(0.0, |noted_at| {
+                    decay::trust(now, noted_at, RELIEF_HALF_LIFE)
+                });
+                decay::mixed(average.seconds.max(owner), owner, trust)
             }
             ObjectAffinity::Strange => {
                 let owner = self.work(now, ObjectAffinity::Owner);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -13,11 +13,12 @@
 //! | [`budget`] | the bound on second attempts |
 //! | [`settings`] | bounds and the place of the host |
 //!
-//! Within the crate, `group` is what is known of a service, `region` what leaves this host's region
-//! and `weigh` how backend servers are weighed.
+//! Within the crate, `group` is what is known of a service, `region` what leaves this host's region,
+//! `weigh` how backend servers are weighed, and `decay` how old observations lose their weight.
 
 pub mod balancer;
 pub mod budget;
+mod decay;
 mod group;
 pub mod query;
 mod region;
--- a/crates/balance/src/region.rs
+++ b/crates/balance/src/region.rs
@@ -79,8 +79,8 @@
             let side = &mut sides[usize::from(server.region != self.region)];
             let slots = f64::from(server.record.slots);
             side.slots += slots;
-            if let Some(load) = server.reported_load(now) {
-                let trust = server.report_trust(now);
+            let report = server.reported_load(now).zip(server.report_trust(now));
+            if let Some((load, trust)) = report {
                 side.known += slots * trust;
                 side.load += load * trust;
             }
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -7,6 +7,8 @@
 use fleet::server::{ServerRecord, ServerState};
 use guard::bucket::RateBucket;
 
+use crate::decay;
+
 /// Time after which half of a reported load is no longer taken as true.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
 
@@ -172,19 +174,20 @@
 
     /// Returns the requests that it had by its latest report, where that is not old.
     pub fn reported_load(&self, now: Instant) -> Option<f64> {
-        (self.report_trust(now) > 0.0).then_some(self.others + f64::from(self.outstanding))
+        self.latest_report(now)?;
+        Some(self.others + f64::from(self.outstanding))
     }
 
-    /// Returns how much its latest report still counts, from 0 to 1.
-    pub fn report_trust(&self, now: Instant) -> f64 {
-        let Some(reported_at) = self.reported_at else {
-            return 0.0;
-        };
-        if now >= reported_at + REPORT_LIFE {
-            return 0.0;
-        }
-        let age = now.saturating_duration_since(reported_at).as_secs_f64();
-        0.5_f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
+    /// Returns how much its latest report still counts, where that is not old.
+    pub fn report_trust(&self, now: Instant) -> Option<f64> {
+        let reported_at = self.latest_report(now)?;
+        Some(decay::trust(now, reported_at, REPORT_HALF_LIFE))
+    }
+
+    /// Returns when it last reported its load, where that is not old.
+    fn latest_report(&self, now: Instant) -> Option<Instant> {
+        self.reported_at
+            .filter(|reported_at| now < *reported_at + REPORT_LIFE)
     }
 
     /// Returns the requests that it is taken to have, those of other hosts included. `typical` is
@@ -194,12 +197,9 @@
         let others = match self.reported_at {
             None => typical,
             Some(reported_at) => {
-                let age = now.saturating_duration_since(reported_at).as_secs_f64();
-                let trust = |half_life: Duration| 0.5_f64.powf(age / half_life.as_secs_f64());
-                let usual = self.others_usual * trust(USUAL_HALF_LIFE)
-                    + typical * (1.0 - trust(USUAL_HALF_LIFE));
-                let report = trust(REPORT_HALF_LIFE);
-                self.others * report + usual * (1.0 - report)
+                let trust = |half_life| decay::trust(now, reported_at, half_life);
+                let usual = decay::mixed(self.others_usual, typical, trust(USUAL_HALF_LIFE));
+                decay::mixed(self.others, usual, trust(REPORT_HALF_LIFE))
             }
         };
         f64::from(self.outstanding) + others
@@ -216,9 +216,7 @@
         let Some(paced_at) = self.paced_at else {
             return 1.0;
         };
-        let age = now.saturating_duration_since(paced_at).as_secs_f64();
-        let trust = 0.5_f64.powf(age / PACE_HALF_LIFE.as_secs_f64());
-        1.0 + (self.pace - 1.0) * trust
+        decay::mixed(self.pace, 1.0, decay::trust(now, paced_at, PACE_HALF_LIFE))
     }
 
     /// Notes the time of a request as a multiple of the usual time.
--- a/crates/balance/src/spill.rs
+++ b/crates/balance/src/spill.rs
@@ -40,8 +40,8 @@
 /// Rise of the share for one request that its region can't take.
 const STARVED_STEP: f64 = 0.005;
 
-/// Share of the requests for one service that leaves this host's region.
-#[derive(Debug, Clone)]
+/// Share of the requests for one service that leaves this host's region; the first request sets it.
+#[derive(Debug, Clone, Default)]
 pub struct RegionSpill {
     share: f64,
     /// Share that has left of late; the others may have no room for all that should.
@@ -57,20 +57,6 @@
 }
 
 impl RegionSpill {
-    /// Creates a share that is set by the first request.
-    pub fn new() -> Self {
-        Self {
-            share: 0.0,
-            left: 0.0,
-            urge: 0.0,
-            moves: 0.0,
-            credit: 0.0,
-            moved_at: None,
-            capacity: 0.0,
-            changed_at: None,
-        }
-    }
-
     /// Returns the share.
     pub fn share(&self) -> f64 {
         self.share
@@ -169,9 +155,3 @@
 fn place_of(object: u64) -> f64 {
     (object.rotate_left(32) >> 11) as f64 / (1_u64 << 53) as f64
 }
-
-impl Default for RegionSpill {
-    fn default() -> Self {
-        Self::new()
-    }
-}
--- a/crates/balance/src/weigh.rs
+++ b/crates/balance/src/weigh.rs
@@ -158,11 +158,12 @@
         let slots = f64::from(server.record.slots.max(1));
         let typical = if local { near } else { far };
         let load = server.load(now, typical.share());
-        // What is known of a region says little of one server, and most have more room than the mean.
-        let relief_load = server
-            .reported_load(now)
-            .map_or(slots * typical.share() - 1.0, |_| load);
-        if affinity == ObjectAffinity::Relief && relief_load + 1.0 > slots * RELIEF_LOAD {
+        // The mean of a region says little of one server, as most have more room than that.
+        let relieves = match server.reported_load(now) {
+            Some(_) => load + 1.0 <= slots * RELIEF_LOAD,
+            None => typical.share() <= RELIEF_LOAD,
+        };
+        if affinity == ObjectAffinity::Relief && !relieves {
             return None;
         }
         let queued = (load + 1.0 - slots).max(0.0);
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -476,6 +476,11 @@
         };
         let (waiting, due): (Vec<_>, Vec<_>) = self.followers.drain(..).partition(waits);
         self.followers = waiting;
+        if due.is_empty() {
+            return;
+        }
+        let shares = self.shares.means(now);
+        let replicas = self.replicas();
         for follower in due {
             let request = follower.request;
             let known = request.hosts_digest == hosts_digest;
@@ -488,8 +493,8 @@
                 cold_digest,
                 hosts: (!known).then(|| hosts.clone()),
                 hosts_digest,
-                shares: self.shares.means(now, &request.region),
-                replicas: self.replicas(),
+                shares: shares.get(&request.region).cloned().unwrap_or_default(),
+                replicas: replicas.clone(),
             };
             self.metrics.count_follow();
             // A host that left meanwhile asks another replica.
--- a/crates/director/src/shares.rs
+++ b/crates/director/src/shares.rs
@@ -63,48 +63,50 @@
             .retain(|_, host| now < host.heard_at + SHARE_LIFE);
         self.replicas
             .retain(|_, replica| now < replica.heard_at + SHARE_LIFE);
-        let mut sums: BTreeMap<(&str, &str), ShareSum> = BTreeMap::new();
-        for host in self.hosts.values() {
-            for share in &host.shares {
-                let sum = sums.entry((&host.region, &share.service)).or_default();
-                sum.0 += f64::from(share.share);
-                sum.1 += 1;
-            }
-        }
-        let shares = sums
-            .into_iter()
-            .map(|((region, service), sum)| RegionShare {
-                region: region.to_string(),
-                service: service.to_string(),
-                sum: sum.0,
-                hosts: sum.1,
-            });
+        let sums = self.own_sums(now).into_iter();
+        let shares = sums.map(|((region, service), (sum, hosts))| RegionShare {
+            region: region.to_string(),
+            service: service.to_string(),
+            sum,
+            hosts,
+        });
         shares.collect()
     }
 
-    /// Returns the mean shares of a region.
-    pub fn means(&self, now: Instant, region: &str) -> Vec<SpillShare> {
-        let mut sums: BTreeMap<&str, ShareSum> = BTreeMap::new();
+    /// Returns the mean shares of each region, by all its hosts.
+    pub fn means(&self, now: Instant) -> BTreeMap<ids::RegionName, Vec<SpillShare>> {
+        let mut sums = self.own_sums(now);
+        let replicas = self.replicas.values();
+        let fresh = replicas.filter(|replica| now < replica.heard_at + SHARE_LIFE);
+        for share in fresh.flat_map(|replica| &replica.shares) {
+            let sum = sums.entry((&share.region, &share.service)).or_default();
+            sum.0 += share.sum;
+            sum.1 += share.hosts;
+        }
+        let mut means: BTreeMap<ids::RegionName, Vec<SpillShare>> = BTreeMap::new();
+        for ((region, service), (sum, hosts)) in sums {
+            means
+                .entry(region.to_string())
+                .or_default()
+                .push(SpillShare {
+                    service: service.to_string(),
+                    share: (sum / f64::from(hosts.max(1))) as f32,
+                });
+        }
+        means
+    }
+
+    /// Returns the sums of what was heard here, by region and service.
+    fn own_sums(&self, now: Instant) -> BTreeMap<(&str, &str), ShareSum> {
+        let mut sums: BTreeMap<(&str, &str), ShareSum> = BTreeMap::new();
         let hosts = self.hosts.values();
-        for host in hosts.filter(|host| host.region == region && now < host.heard_at + SHARE_LIFE) {
+        for host in hosts.filter(|host| now < host.heard_at + SHARE_LIFE) {
             for share in &host.shares {
-                let sum = sums.entry(&share.service).or_default();
+                let sum = sums.entry((&host.region, &share.service)).or_default();
                 sum.0 += f64::from(share.share);
                 sum.1 += 1;
             }
         }
-        let replicas = self.replicas.values();
-        for replica in replicas.filter(|replica| now < replica.heard_at + SHARE_LIFE) {
-            for share in replica.shares.iter().filter(|share| share.region == region) {
-                let sum = sums.entry(&share.service).or_default();
-                sum.0 += share.sum;
-                sum.1 += share.hosts;
-            }
-        }
-        let means = sums.into_iter().map(|(service, (sum, hosts))| SpillShare {
-            service: service.to_string(),
-            share: (sum / f64::from(hosts.max(1))) as f32,
-        });
-        means.collect()
+        sums
     }
 }
--- a/crates/director/tests/shares.rs
+++ b/crates/director/tests/shares.rs
@@ -16,8 +16,8 @@
 }
 
 fn mean(table: &ShareTable, now: Instant, region: &str) -> Option<f32> {
-    let means = table.means(now, region);
-    means.first().map(|mean| mean.share)
+    let means = table.means(now);
+    means.get(region)?.first().map(|mean| mean.share)
 }
 
 #[test]
