--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -1,19 +1,15 @@
 //! One connection to a backend server.
 
-use std::convert::Infallible;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use futures_util::future;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use wire::http::HttpConnection;
 
 use crate::body::RequestBody;
 use crate::pool::OpenPermit;
@@ -27,10 +23,6 @@
 const KEEPALIVE_PROBES: u32 = 3;
 /// Longest time that sent bytes stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest wait for an open connection to get ready for its next request.
-const READY_WAIT: Duration = Duration::from_millis(5);
-/// Most bytes of an answer's head.
-const MAX_HEAD_BYTES: usize = 64 << 10;
 
 quick_error! {
     /// Why a connection could not be opened.
@@ -69,10 +61,8 @@
 /// the socket.
 #[derive(Debug)]
 pub(crate) struct BackendConnection {
-    sender: http1::SendRequest<RequestBody>,
-    socket: socket2::Socket,
+    connection: HttpConnection<RequestBody>,
     last_answer: Instant,
-    _closer: oneshot::Sender<Infallible>,
 }
 
 impl BackendConnection {
@@ -90,22 +80,13 @@
         let stream = tokio::time::timeout(settings.connect_timeout, connecting)
             .await
             .map_err(|_| ConnectError::Late)??;
-        let socket = set_options(&stream)?;
-        let (sender, driver) = http1::Builder::new()
-            .max_headers(settings.max_headers)
-            .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await?;
-        let (closer, closed) = oneshot::channel::<Infallible>();
-        async_std::task::spawn(async move {
-            future::select(driver, closed).await;
-            drop(permit);
-        });
+        set_timeouts(&stream, USER_TIMEOUT)?;
+        let mut builder = http1::Builder::new();
+        builder.max_headers(settings.max_headers);
+        let connection = HttpConnection::start::<ConnectError>(stream, builder, permit).await?;
         Ok(Self {
-            sender,
-            socket,
+            connection,
             last_answer: Instant::now(),
-            _closer: closer,
         })
     }
 
@@ -122,25 +103,12 @@
     /// Waits shortly until the connection can take its next request. Gives false for a connection
     /// that closed, or on which bytes wait that nobody asked for.
     pub(crate) async fn get_ready(&mut self) -> bool {
-        if !self.sender.is_ready() {
-            let ready = tokio::time::timeout(READY_WAIT, self.sender.ready()).await;
-            if !matches!(ready, Ok(Ok(()))) {
-                return false;
-            }
-        }
-        self.is_silent()
-    }
-
-    /// Tells whether the socket is open and has nothing to read.
-    fn is_silent(&self) -> bool {
-        let mut byte = [MaybeUninit::<u8>::uninit()];
-        let peeked = self.socket.peek(&mut byte);
-        matches!(peeked, Err(err) if err.kind() == io::ErrorKind::WouldBlock)
+        self.connection.get_ready().await
     }
 
     /// Sends a request and waits for the head of its answer.
     pub(crate) async fn send(&mut self, request: Request<RequestBody>) -> SendEnd {
-        match self.sender.try_send_request(request).await {
+        match self.connection.sender.try_send_request(request).await {
             Ok(response) => SendEnd::Head(response),
             Err(mut err) => match err.take_message() {
                 Some(request) => SendEnd::NotSent(request),
@@ -150,12 +118,6 @@
     }
 }
 
-/// Sets the options of a socket and gives a second handle on it.
-fn set_options(stream: &TcpStream) -> io::Result<socket2::Socket> {
-    set_timeouts(stream, USER_TIMEOUT)?;
-    socket2::SockRef::from(stream).try_clone()
-}
-
 /// Ends a connection whose other side is gone or takes no bytes, after a time.
 ///
 /// # Errors
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -162,7 +162,7 @@
         };
         guard.reused = Some(connection.reused);
         let message = self.message(request, &guard.chosen);
-        let response = match connection.sender.try_send_request(message).await {
+        let response = match connection.http.sender.try_send_request(message).await {
             Ok(response) => response,
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
@@ -215,7 +215,7 @@
         if let Some(limit) = kept_for(&parts.headers) {
             connection.set_idle_limit(limit);
         }
-        if !closes && !connection.sender.is_closed() {
+        if !closes && !connection.http.sender.is_closed() {
             self.pool.put(address, connection);
         }
         let not_executed = parts.headers.contains_key(&self.names.not_run);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,20 +2,16 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use async_std::task;
 use bytes::Bytes;
-use futures_util::future;
 use http_body_util::Full;
 use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use wire::http::HttpConnection;
 
 /// Time in which a connection must stand; a lost packet is sent again after a second or more.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -33,12 +29,6 @@
 /// Longest time that sent bytes stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Longest wait for the library to finish with the request before.
-const READY_WAIT: Duration = Duration::from_millis(5);
-
-/// Most bytes of an answer's head.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-
 quick_error! {
     /// Why there is no connection.
     #[derive(Debug)]
@@ -65,14 +55,12 @@
 /// A connection that carries one request at a time. Dropping it closes the socket.
 #[derive(Debug)]
 pub struct ServerConnection {
-    /// Sends requests on it.
-    pub sender: http1::SendRequest<Full<Bytes>>,
+    /// What carries the requests.
+    pub http: HttpConnection<Full<Bytes>>,
     /// Whether it has carried a request before.
     pub reused: bool,
-    socket: socket2::Socket,
     idle_since: Instant,
     idle_limit: Duration,
-    _closer: oneshot::Sender<()>,
 }
 
 impl ServerConnection {
@@ -84,39 +72,16 @@
         let socket = socket2::SockRef::from(&stream);
         socket.set_tcp_nodelay(true)?;
         socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-        let socket = socket.try_clone()?;
-        let (sender, driver) = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await?;
-        let (closer, closed) = oneshot::channel::<()>();
-        task::spawn(async move {
-            future::select(driver, closed).await;
-        });
+        let builder = http1::Builder::new();
+        let http = HttpConnection::start::<ConnectError>(stream, builder, ()).await?;
         Ok(Self {
-            sender,
+            http,
             reused: false,
-            socket,
             idle_since: Instant::now(),
             idle_limit: KEPT_IDLE,
-            _closer: closer,
         })
     }
 
-    /// Tells whether the socket is open and has nothing to read, and the library can take a
-    /// request, if need be after a short wait.
-    async fn is_usable(&mut self) -> bool {
-        if !self.sender.is_ready() {
-            let ready = tokio::time::timeout(READY_WAIT, self.sender.ready()).await;
-            if !matches!(ready, Ok(Ok(()))) {
-                return false;
-            }
-        }
-        let mut byte = [MaybeUninit::<u8>::uninit()];
-        let peeked = self.socket.peek(&mut byte);
-        matches!(peeked, Err(err) if err.kind() == io::ErrorKind::WouldBlock)
-    }
-
     /// Notes how long the backend server keeps an idle connection.
     pub fn set_idle_limit(&mut self, announced: Duration) {
         self.idle_limit = announced.mul_f64(KEPT_SHARE);
@@ -149,7 +114,7 @@
         while let Some(mut connection) = self.take_idle(address) {
             let idle = now.saturating_duration_since(connection.idle_since);
             let fresh = idle < connection.idle_limit.min(longest_idle);
-            if fresh && connection.is_usable().await {
+            if fresh && connection.http.get_ready().await {
                 return Ok(connection);
             }
         }
@@ -168,7 +133,7 @@
         self.lock().retain(|_, idle| {
             idle.retain(|connection| {
                 now < connection.idle_since + connection.idle_limit
-                    && !connection.sender.is_closed()
+                    && !connection.http.sender.is_closed()
             });
             !idle.is_empty()
         });
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,9 +1,10 @@
-//! Messages and calls between the processes of the system.
+//! Messages and calls between the processes of the system, and connections to backend servers.
 //!
 //! The messages stand in `proto/wisteria.proto`; the code in [`v1`] is generated from them by
 //! `cargo run -p codegen` and committed, so that a build needs no generator.
 
 pub mod dial;
+pub mod http;
 pub mod listen;
 pub mod token;
 
