--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -125,13 +125,6 @@
         if ended.is_some_and(|(born, _)| !record.is_younger(*born)) {
             return None;
         }
-        let successor = self
-            .servers
-            .values()
-            .any(|other| other.address == record.address && other.is_younger(record.born));
-        if successor {
-            return None;
-        }
         let mut merged = record.clone();
         if let Some(known) = self.servers.get(&record.id) {
             if known.is_younger(record.born) {
@@ -148,7 +141,11 @@
             }
             merged.cold = record.cold;
         }
-        Some(merged)
+        let successor = self
+            .servers
+            .values()
+            .any(|other| other.address == record.address && other.is_younger(record.born));
+        (!successor).then_some(merged)
     }
 
     fn announce(&mut self, record: ServerRecord) -> (CommandOutcome, Vec<FleetChange>) {
