feat(balance): a caller whose request was rejected by servers with room may return at once

Callers whose attempts or budget were used up were told to return after the usual time of a request (0.24 to 0.45 s), by which their answers were late. Ruled out: load; waiting changes nothing about a rejection that has another reason. Change: the time at which the first of the rejecting servers is expected to have room, 15 ms where it has. Test: a_rejected_request_may_return_when_room_is_expected, which had no way to hold before.

--- a/crates/balance/src/weigh.rs
+++ b/crates/balance/src/weigh.rs
@@ -44,6 +44,10 @@
 /// Shortest time after which a refused caller is told to come back.
 const MIN_COME_BACK: Duration = Duration::from_millis(60);
 
+/// The same where backend servers rejected its request though they had room: another try has the
+/// same chance at any time.
+const REJECTED_COME_BACK: Duration = Duration::from_millis(15);
+
 /// How much a candidate is liked; less is better.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ServerCost {
@@ -227,6 +231,27 @@
         best
     }
 
+    /// Returns when to come back with a request that the backend servers it was sent to rejected:
+    /// when the first of them is expected to have room, which may be at once.
+    pub fn rejected_come_back(
+        &self,
+        now: Instant,
+        service: &str,
+        rejected: &[ServerKey],
+    ) -> Duration {
+        let work = self.groups.get(service).map_or(0.0, ServiceGroup::mean_work);
+        let servers = rejected.iter().filter_map(|key| self.servers.get(*key));
+        let waits = servers.filter_map(|server| {
+            let slots = f64::from(server.record.slots.max(1));
+            let queued = (server.reported_load(now)? + 1.0 - slots).max(0.0);
+            Some(work * queued / slots)
+        });
+        match waits.min_by(f64::total_cmp) {
+            Some(wait) => Duration::from_secs_f64(wait).max(REJECTED_COME_BACK),
+            None => self.usual_time(service),
+        }
+    }
+
     /// Returns why no backend server was taken.
     pub(crate) fn refusal(&self, query: &ServerQuery<'_>, costs: &[ServerCost]) -> LoadRefusal {
         let soonest = costs.iter().map(|cost| SoonestServer {
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -12,7 +12,7 @@
 
 use balance::balancer::LoadBalancer;
 use balance::query::{AttemptReport, RefusalCause, ServerQuery};
-use balance::server::AttemptEnd;
+use balance::server::{AttemptEnd, ReportedLoad};
 use fleet::change::FleetChange;
 use fleet::server::{ServerRecord, ServerState};
 use played::{query, record, settings, view, SERVICE};
@@ -215,3 +215,42 @@
     let least = counts.values().min().copied().unwrap_or(0);
     assert!(counts.len() == 2 && least > 40, "{counts:?}");
 }
+
+/// A backend server that rejects requests though it has room will do so at any time, so waiting
+/// helps nobody; one that is full has room once its queue is done.
+#[rstest]
+#[case::with_room(1, Duration::ZERO, Duration::from_millis(20))]
+#[case::full(13, Duration::from_millis(300), Duration::from_millis(1_000))]
+fn a_rejected_request_may_return_when_room_is_expected(
+    #[case] running: u32,
+    #[case] least: Duration,
+    #[case] most: Duration,
+) {
+    let now = Instant::now();
+    let mut balancer = balancer(now, &two_servers());
+    let mut tried = Vec::new();
+    for _ in 0..2 {
+        let query = ServerQuery {
+            tried: &tried,
+            ..query(None)
+        };
+        let Ok(chosen) = balancer.choose(now, &query) else {
+            break;
+        };
+        tried.push(chosen.key);
+        let report = AttemptReport {
+            end: AttemptEnd::Shed,
+            took: Duration::from_millis(2),
+            load: Some(ReportedLoad {
+                running,
+                waiting: 0,
+                slots: 4,
+            }),
+            object: None,
+            forecast: chosen.forecast,
+        };
+        balancer.finish(now, chosen.key, report);
+    }
+    let come_back = balancer.rejected_come_back(now, SERVICE, &tried);
+    assert!((least..=most).contains(&come_back), "{come_back:?}");
+}
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -239,10 +239,13 @@
     /// Refuses a request that has not run, and says when to come back: when room is expected,
     /// spread so that refused callers don't come back together.
     fn refusal(&self, request: &ForwardRequest, progress: &ForwardProgress) -> OwnAnswer {
-        let usual = self.sender.state.balancer().usual_time(&request.service);
-        let come_back = progress.come_back.unwrap_or(usual);
+        let now = Instant::now();
+        let come_back = progress.come_back.unwrap_or_else(|| {
+            let balancer = self.sender.state.balancer();
+            balancer.rejected_come_back(now, &request.service, &progress.tried)
+        });
         let spread = rand::rng().random_range(1.0..1.0 + COME_BACK_SPREAD);
-        let most = request.left(Instant::now()).mul_f64(COME_BACK_SHARE);
+        let most = request.left(now).mul_f64(COME_BACK_SHARE);
         OwnAnswer::NotRun {
             cause: progress.cause.clone(),
             come_back: come_back.mul_f64(spread).min(most),
