--- a/crates/balance/src/weigh.rs
+++ b/crates/balance/src/weigh.rs
@@ -239,7 +239,10 @@
         service: &str,
         rejected: &[ServerKey],
     ) -> Duration {
-        let work = self.groups.get(service).map_or(0.0, ServiceGroup::mean_work);
+        let work = self
+            .groups
+            .get(service)
+            .map_or(0.0, ServiceGroup::mean_work);
         let servers = rejected.iter().filter_map(|key| self.servers.get(*key));
         let waits = servers.filter_map(|server| {
             let slots = f64::from(server.record.slots.max(1));
