feat(quorum): a former leader that starts anew ends its lease by itself

Ruled out: the hosts' calls (they were answered within 0.1 s of the leader's first commit) and the disks. Change: the leader of a term that asks for votes in a later one leads the old term never again. A replica remembers, synced with its vote, whose lease it may have confirmed, and votes at once where that one asks. The former leader asks a heartbeat after its start; where its log lacks entries another stands soon.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -15,7 +15,12 @@
         if self.now < self.election_at {
             return;
         }
-        self.arm_election();
+        // One that led before its start goes on asking until the others are up too.
+        if self.heard_at.is_none() && self.hard.leader == Some(self.config.id) {
+            self.arm_election_soon();
+        } else {
+            self.arm_election();
+        }
         self.leader = None;
         if !self.is_member() || self.is_blank() || self.stopping {
             return;
@@ -33,6 +38,7 @@
         self.leader = None;
         self.hard.term += 1;
         self.hard.vote = Some(self.config.id);
+        self.hard.leader = Some(self.config.id);
         self.writes.change_hard();
         self.arm_election();
         self.votes.clear();
@@ -78,6 +84,8 @@
         if !self.is_member() || !message.member {
             return;
         }
+        let complete = (last_term, last_index) >= (self.log.last_term(), self.log.last_index());
+        self.note_former_leader(from, message.term, complete);
         let leased = self.heard_leader() && !handed_over;
         if !pre && message.term > self.hard.term {
             if leased {
@@ -90,7 +98,6 @@
         } else {
             message.term == self.hard.term && self.hard.vote.is_none_or(|vote| vote == from)
         };
-        let complete = (last_term, last_index) >= (self.log.last_term(), self.log.last_index());
         let granted = current && complete;
         if granted && !pre {
             self.vote_for(from);
@@ -109,9 +116,24 @@
         self.send_in(term, need, from, MessageBody::VoteReply { pre, granted });
     }
 
+    /// Notes that the lease which rests on this replica is over, where its own leader asks for
+    /// votes in a later term: it leads that term never again. Where its log lacks entries another
+    /// is to stand.
+    fn note_former_leader(&mut self, from: ids::ReplicaId, term: ids::Term, complete: bool) {
+        let hasty = self.fault == Some(PlantedFault::LeaseEndedByAnyone);
+        let former = self.hard.leader == Some(from) || hasty;
+        if !former || term <= self.hard.term || self.leadership.is_some() {
+            return;
+        }
+        if self.heard_at.take().is_some() && !complete {
+            self.arm_election_soon();
+        }
+    }
+
     fn vote_for(&mut self, candidate: ids::ReplicaId) {
         if self.hard.vote.is_none() {
             self.hard.vote = Some(candidate);
+            self.hard.leader = Some(candidate);
             self.writes.change_hard();
         }
         self.arm_election();
@@ -120,10 +142,10 @@
     /// Returns whether a leader was heard so recently that no other may be elected.
     fn heard_leader(&self) -> bool {
         let heard_at = match &self.leadership {
-            Some(leadership) => leadership.rounds.confirmed_at(),
+            Some(leadership) => Some(leadership.rounds.confirmed_at()),
             None => self.heard_at,
         };
-        self.now < heard_at + self.config.election
+        heard_at.is_some_and(|heard_at| self.now < heard_at + self.config.election)
     }
 
     pub(crate) fn on_vote_reply(
@@ -181,6 +203,7 @@
             self.hard = HardState {
                 term,
                 vote: None,
+                leader: None,
                 member,
             };
             self.writes.change_hard();
--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -89,6 +89,9 @@
     pub term: ids::Term,
     /// Replica that got this one's vote in that term.
     pub vote: Option<ids::ReplicaId>,
+    /// Replica whose lease this one may have confirmed in that term: the one that it voted for,
+    /// until another was heard to lead.
+    pub leader: Option<ids::ReplicaId>,
     /// True once this replica knows that its incarnation is admitted; only then it votes.
     pub member: bool,
 }
--- a/crates/quorum/src/fault.rs
+++ b/crates/quorum/src/fault.rs
@@ -21,4 +21,6 @@
     ReadWithoutRound,
     /// A leader takes proposals without a lease.
     ProposeWithoutLease,
+    /// A replica takes its leader's lease to be over when any other asks for votes.
+    LeaseEndedByAnyone,
 }
--- a/crates/quorum/src/follower.rs
+++ b/crates/quorum/src/follower.rs
@@ -17,7 +17,11 @@
             return self.acknowledge(from, false, 0, 0);
         }
         self.follow(message.term, Some(from));
-        self.heard_at = self.now;
+        self.heard_at = Some(self.now);
+        if self.hard.leader != Some(from) {
+            self.hard.leader = Some(from);
+            self.writes.change_hard();
+        }
         self.arm_election();
         match message.body {
             MessageBody::Append {
--- a/crates/quorum/src/machine.rs
+++ b/crates/quorum/src/machine.rs
@@ -34,8 +34,8 @@
     pub(crate) applied: ids::LogIndex,
     pub(crate) writes: WriteQueue,
     pub(crate) now: Instant,
-    /// When a leader was last heard, or the start.
-    pub(crate) heard_at: Instant,
+    /// When a leader was last heard, or the start; none where no lease can rest on this replica.
+    pub(crate) heard_at: Option<Instant>,
     pub(crate) election_at: Instant,
     pub(crate) votes: BTreeSet<ids::ReplicaId>,
     pub(crate) leadership: Option<Leadership>,
@@ -77,7 +77,7 @@
             applied: snapshot.index,
             writes: WriteQueue::new(log.last_index()),
             now,
-            heard_at: now,
+            heard_at: Some(now),
             election_at: now,
             votes: BTreeSet::new(),
             leadership: None,
@@ -100,7 +100,7 @@
             machine.role = Role::Follower;
         }
         machine.told.0 = machine.role;
-        machine.arm_election();
+        machine.arm_first_election();
         machine
     }
 
@@ -246,8 +246,27 @@
 
     /// Moves the time of the next election to a random point.
     pub(crate) fn arm_election(&mut self) {
+        self.arm_after(self.config.election);
+    }
+
+    /// Moves it to a point that leaves just time for messages to arrive.
+    pub(crate) fn arm_election_soon(&mut self) {
+        self.arm_after(self.config.heartbeat);
+    }
+
+    fn arm_after(&mut self, shortest: Duration) {
         let spread = self.random.random_range(0.0..1.0);
-        self.election_at = self.now + self.config.election.mul_f64(1.0 + spread);
+        self.election_at = self.now + shortest.mul_f64(1.0 + spread);
+    }
+
+    /// Sets the time of the first election after a start. The leader of the latest term knows that
+    /// its own lease is over and that no other can rest on this replica.
+    fn arm_first_election(&mut self) {
+        if self.hard.leader == Some(self.config.id) {
+            self.heard_at = None;
+            return self.arm_election_soon();
+        }
+        self.arm_election();
     }
 
     /// Draws the number of a greeting.
--- a/crates/quorum/tests/mutations.rs
+++ b/crates/quorum/tests/mutations.rs
@@ -25,6 +25,7 @@
 #[case(PlantedFault::OldSnapshot)]
 #[case(PlantedFault::AckBeforeSync)]
 #[case(PlantedFault::ProposeWithoutLease)]
+#[case(PlantedFault::LeaseEndedByAnyone)]
 fn a_planted_fault_is_found(#[case] fault: PlantedFault) {
     let found = (0..MOST_SEEDS).find_map(|seed| {
         let broken = explore(seed, STEPS, Some(fault)).err()?;
--- a/crates/quorum/tests/support/explorer.rs
+++ b/crates/quorum/tests/support/explorer.rs
@@ -13,6 +13,8 @@
 /// Odds of each kind of fault at each step; a schedule draws its own.
 struct FaultOdds {
     crash: f64,
+    /// Crashes of all replicas at once, most of which start again at once.
+    crash_all: f64,
     /// Crashes while a vote is being written.
     crash_vote: f64,
     freeze: f64,
@@ -37,6 +39,7 @@
         };
         Self {
             crash: odds(0.05),
+            crash_all: odds(0.01),
             crash_vote: odds(0.5),
             freeze: odds(0.02),
             lose_disk: odds(0.02),
@@ -144,6 +147,15 @@
     if running && random.random_bool(crash) {
         world.crash(id);
     }
+    if random.random_bool(odds.crash_all) {
+        for id in world.ids() {
+            let running = world.role(id).is_some();
+            world.crash(id);
+            if running && random.random_bool(0.8) {
+                world.start(id);
+            }
+        }
+    }
     if world.is_awake(id) && random.random_bool(odds.freeze) {
         let time = Duration::from_millis(random.random_range(100..3000));
         world.freeze(id, time);
--- a/crates/quorum/tests/support/world.rs
+++ b/crates/quorum/tests/support/world.rs
@@ -124,6 +124,7 @@
             node.disk.durable.hard = HardState {
                 term: 1,
                 vote: None,
+                leader: None,
                 member: true,
             };
         }
@@ -340,6 +341,18 @@
         self.sequence
     }
 
+    /// A replica acts by its lease without asking the others, so no two may hold one.
+    fn check_one_lease(&self) -> Checked {
+        let now = self.now;
+        let holds = |node: &TestNode| node.machine.as_ref().is_some_and(|m| m.has_lease(now));
+        let holders = self.nodes.iter().filter(|(_, node)| holds(node));
+        let holders: Vec<_> = holders.map(|(id, _)| *id).collect();
+        if holders.len() > 1 {
+            return Err(format!("{holders:?} hold the lease at once"));
+        }
+        Ok(())
+    }
+
     fn is_past_lease(&self, id: ids::ReplicaId) -> bool {
         let lease = QuorumConfig::new(id, Vec::new()).lease;
         let cut_at = self.nodes.get(&id).and_then(|node| node.cut_at);
@@ -371,6 +384,7 @@
             if late && machine.is_some_and(|machine| machine.has_lease(now)) {
                 return Err(format!("cut-off {id} still holds the lease"));
             }
+            self.check_one_lease()?;
         }
         for effect in effects {
             self.carry_out(id, effect)?;
