fix(balance): a refused request is to return when it would be taken; the refusal's line names the limit

Cause: the time to come back was still counted from the wanted time, so refused callers waited up to twice the wanted time longer than until they would be taken; and the log didn't show the limit that decided.

--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -109,6 +109,8 @@
     pub load: f64,
     /// What was expected of the request.
     pub forecast: TimeForecast,
+    /// Seconds within which it must have been expected to answer.
+    pub limit: f64,
 }
 
 /// A refusal before anything was sent.
--- a/crates/balance/src/weigh.rs
+++ b/crates/balance/src/weigh.rs
@@ -72,13 +72,16 @@
 }
 
 impl ServerCost {
-    /// Tells whether it can answer a request as early as is worth it.
-    fn fits(&self, query: &ServerQuery<'_>) -> bool {
+    /// Returns the seconds within which it must be expected to answer a request to get it.
+    fn limit(&self, query: &ServerQuery<'_>) -> f64 {
         let (wanted, left) = (query.wanted.as_secs_f64(), query.left.as_secs_f64());
         let queued = self.usual_wait / (wanted * QUEUED_REGION).max(f64::MIN_POSITIVE);
         let late = wanted * (1.0 + (LATE_FACTOR - 1.0) * (1.0 - queued).max(0.0));
-        let forecast = self.forecast;
-        forecast.seconds() <= late.max(forecast.alone()).min(left)
+        late.max(self.forecast.alone()).min(left)
+    }
+
+    fn fits(&self, query: &ServerQuery<'_>) -> bool {
+        self.forecast.seconds() <= self.limit(query)
     }
 }
 
@@ -280,6 +283,7 @@
         let soonest = costs.iter().map(|cost| SoonestServer {
             load: cost.load,
             forecast: cost.forecast,
+            limit: cost.limit(query),
         });
         let soonest = soonest.min_by(|a, b| a.forecast.seconds().total_cmp(&b.forecast.seconds()));
         let (cause, come_back) = match soonest {
@@ -288,7 +292,7 @@
                 (RefusalCause::NoServer, usual.max(MIN_COME_BACK * 4))
             }
             Some(soonest) => {
-                let over = (soonest.forecast.seconds() - query.wanted.as_secs_f64()).max(0.0);
+                let over = (soonest.forecast.seconds() - soonest.limit).max(0.0);
                 let over = Duration::from_secs_f64(over);
                 (RefusalCause::Full, over.max(MIN_COME_BACK))
             }
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -259,8 +259,9 @@
         let pace = forecast.pace;
         let expected_ms = forecast.expected().as_millis();
         let wait_ms = (forecast.wait * 1e3).round();
+        let limit_ms = (soonest.limit * 1e3).round();
         format!(
-            " soonest_ms={expected_ms} affinity={} load={:.1} wait_ms={wait_ms} pace={pace:.2}",
+            " soonest_ms={expected_ms} limit_ms={limit_ms} affinity={} load={:.1} wait_ms={wait_ms} pace={pace:.2}",
             forecast.affinity, soonest.load,
         )
     });
