--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -297,7 +297,7 @@
     /// Takes in the mean loads of all backend servers, in the order of their ids, as all hosts
     /// together see them.
     pub fn set_shared_loads(&mut self, now: Instant, means: impl Iterator<Item = Option<f64>>) {
-        // What this host itself sent is counted beside.
+        // Hosts send about as much each, and what this one sent is counted by itself.
         let hosts = self.hosts() as f64;
         let others = (hosts - 1.0) / hosts;
         for (key, mean) in self.keys.values().zip(means) {
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -18,7 +18,7 @@
 /// Age up to which a report counts at all.
 const REPORT_LIFE: Duration = Duration::from_secs(2);
 
-/// Age up to which a load that all hosts saw counts; three calls to control.
+/// Age up to which a load that was told counts; three calls to control.
 const SHARED_LIFE: Duration = Duration::from_millis(1_200);
 
 /// Weight of the latest request in the averages of time and failures.
@@ -108,7 +108,7 @@
     reported_at: Option<Instant>,
     /// Load of its latest report that the other hosts weren't told yet.
     reading: Option<u32>,
-    /// Mean load that all hosts together saw, and when this host was told.
+    /// Mean load by the requests of other hosts, and when this host was told.
     shared: Option<(f64, Instant)>,
     /// Time of its requests, as a multiple of the usual time.
     pace: f64,
@@ -217,13 +217,13 @@
         f64::from(self.outstanding) + others
     }
 
-    /// Returns the mean load that other hosts saw a short time ago.
+    /// Returns the mean load by the requests of other hosts, where that was told a short time ago.
     pub fn shared_load(&self, now: Instant) -> Option<f64> {
         let (load, told_at) = self.shared?;
         (now < told_at + SHARED_LIFE).then_some(load)
     }
 
-    /// Notes the mean load that other hosts saw.
+    /// Notes the mean load by the requests of other hosts.
     pub fn set_shared_load(&mut self, now: Instant, load: f64) {
         self.shared = Some((load, now));
     }
