refactor: one wait at a queue, one casting of a vote, one bare call of an entry host

The wait of a request at a backend server was worked out in two places of balance::weigh, vote and leader were set together in two of quorum::election, and a call to control was spelled out twice in the follower. Behaviour stays.

--- a/crates/balance/src/group.rs
+++ b/crates/balance/src/group.rs
@@ -101,6 +101,11 @@
         seen.unwrap_or(FIRST_WORK.as_secs_f64())
     }
 
+    /// Returns the seconds that a request waits at a backend server with a load and some slots.
+    pub(crate) fn wait(&self, load: f64, slots: f64) -> f64 {
+        self.mean_work() * (load + 1.0 - slots).max(0.0) / slots
+    }
+
     /// Returns the mean seconds of all requests.
     pub(crate) fn mean_work(&self) -> f64 {
         let first = FIRST_WORK.as_secs_f64() * FIRST_STRANGE;
--- a/crates/balance/src/weigh.rs
+++ b/crates/balance/src/weigh.rs
@@ -195,11 +195,10 @@
         if affinity == ObjectAffinity::Relief && !relieves {
             return None;
         }
-        let work_wait = |load: f64| group.mean_work() * (load + 1.0 - slots).max(0.0) / slots;
         let round = if local { NEAR_ROUND } else { FAR_ROUND };
         let forecast = TimeForecast {
             affinity,
-            wait: work_wait(load),
+            wait: group.wait(load, slots),
             own: group.work(now, affinity),
             round: round.as_secs_f64(),
             pace: server.pace(now),
@@ -218,7 +217,7 @@
             cost,
             load,
             forecast,
-            usual_wait: work_wait(typical.share() * slots),
+            usual_wait: group.wait(typical.share() * slots, slots),
             local,
             cold: server.is_cold(now),
         })
@@ -262,15 +261,11 @@
         service: &str,
         rejected: &[ServerKey],
     ) -> Duration {
-        let work = self
-            .groups
-            .get(service)
-            .map_or(0.0, ServiceGroup::mean_work);
+        let group = self.groups.get(service);
         let servers = rejected.iter().filter_map(|key| self.servers.get(*key));
         let waits = servers.filter_map(|server| {
             let slots = f64::from(server.record.slots.max(1));
-            let queued = (server.reported_load(now)? + 1.0 - slots).max(0.0);
-            Some(work * queued / slots)
+            Some(group?.wait(server.reported_load(now)?, slots))
         });
         match waits.min_by(f64::total_cmp) {
             Some(wait) => Duration::from_secs_f64(wait).max(REJECTED_COME_BACK),
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -9,7 +9,6 @@
 use director::core::CONFIRMED_LIMIT;
 use director::mesh::MeshLinks;
 use director::message::{FollowReply, FollowRequest, HostStatus, MeshReply, MeshRequest};
-use fleet::ids;
 use quorum::ids::ReplicaId;
 use rand::seq::SliceRandom;
 
@@ -64,16 +63,7 @@
     /// Tells all replicas at once that the host takes no more clients.
     pub fn announce_stop(settings: &GatewaySettings, replicas: &[SocketAddr]) {
         let mesh = MeshLinks::new(0);
-        let request = MeshRequest::Follow(Box::new(FollowRequest {
-            host: host_status(settings, false),
-            region: region(settings),
-            shares: Vec::new(),
-            loads: Vec::new(),
-            revision: None,
-            hosts_digest: 0,
-            cold_digest: 0,
-            patience: Duration::ZERO,
-        }));
+        let request = MeshRequest::Follow(Box::new(bare_request(settings, false)));
         for replica in replicas {
             mesh.post(*replica, &request);
         }
@@ -86,14 +76,13 @@
         };
         let (revision, hosts_digest, cold_digest) = self.state.known();
         let request = MeshRequest::Follow(Box::new(FollowRequest {
-            host: host_status(&self.settings, self.state.is_ready()),
-            region: region(&self.settings),
             shares: self.state.spill_shares(),
             loads: self.state.take_readings(),
             revision,
             hosts_digest,
             cold_digest,
             patience,
+            ..bare_request(&self.settings, self.state.is_ready())
         }));
         let reply = self.mesh.call(replica, &request, patience + ANSWER_TIMEOUT);
         match reply.await {
@@ -171,15 +160,22 @@
     }
 }
 
-fn host_status(settings: &GatewaySettings, ready: bool) -> HostStatus {
-    HostStatus {
-        name: settings.balance.host.clone(),
-        address: settings.clients,
-        zone: settings.balance.zone.clone(),
-        ready,
+/// Returns a call that tells of the host alone.
+fn bare_request(settings: &GatewaySettings, ready: bool) -> FollowRequest {
+    let balance = &settings.balance;
+    FollowRequest {
+        host: HostStatus {
+            name: balance.host.clone(),
+            address: settings.clients,
+            zone: balance.zone.clone(),
+            ready,
+        },
+        region: balance.region(&balance.zone).to_string(),
+        shares: Vec::new(),
+        loads: Vec::new(),
+        revision: None,
+        hosts_digest: 0,
+        cold_digest: 0,
+        patience: Duration::ZERO,
     }
 }
-
-fn region(settings: &GatewaySettings) -> ids::RegionName {
-    settings.balance.region(&settings.balance.zone).to_string()
-}
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -37,9 +37,7 @@
         self.role = Role::Candidate;
         self.leader = None;
         self.hard.term += 1;
-        self.hard.vote = Some(self.config.id);
-        self.hard.leader = Some(self.config.id);
-        self.writes.change_hard();
+        self.cast_vote(self.config.id);
         self.arm_election();
         self.votes.clear();
         self.votes.insert(self.config.id);
@@ -132,13 +130,17 @@
 
     fn vote_for(&mut self, candidate: ids::ReplicaId) {
         if self.hard.vote.is_none() {
-            self.hard.vote = Some(candidate);
-            self.hard.leader = Some(candidate);
-            self.writes.change_hard();
+            self.cast_vote(candidate);
         }
         self.arm_election();
     }
 
+    fn cast_vote(&mut self, candidate: ids::ReplicaId) {
+        self.hard.vote = Some(candidate);
+        self.hard.leader = Some(candidate);
+        self.writes.change_hard();
+    }
+
     /// Returns whether a leader was heard so recently that no other may be elected.
     fn heard_leader(&self) -> bool {
         let heard_at = match &self.leadership {
