fix(entry,forward): readiness by the tables in force, and a stop that waits for its listener

Cause of the look-up without hosts: /ready and look-ups took the revision from the state holder, while the tables are rebuilt a moment later. A host that was ready at revision 0 said revision 1 with the hosts of revision 0. Both now state the revision that the table was built from; a test of the table holds it. Cause of the open listener after a stop: stop() could see all connections closed before the accepting task ran; it now waits for the listener. A test that lets the stop run first fails on the former code. Cause of the lost stream of submissions: the test sent to a replica that was restarted and didn't listen yet; it now waits for that replica's state, the assertion is unchanged.

Ruled out for the last: a lost ticket (all 40 submissions ended without a verdict in 3 to 28 ms).

--- a/crates/control/tests/accepted_tickets_survive.rs
+++ b/crates/control/tests/accepted_tickets_survive.rs
@@ -86,6 +86,8 @@
         assert!(!stream.is_empty());
         accepted.extend(stream);
         cluster.replicas[killed].process.restart().unwrap();
+        // The next round sends all its submissions to one replica, which has to listen.
+        wait_for_state(&cluster.replicas[killed]);
     }
     assert_applied(&cluster, &accepted);
 }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -167,11 +167,12 @@
     json_response(StatusCode::Ok, &json!({ "healthy": true }))
 }
 
-/// Returns 200 if callers may be sent to this host, else 503; both with its status and revision.
+/// Returns 200 if callers may be sent to this host, else 503; both with its status and the revision
+/// that its tables are built from.
 async fn ready(request: ApiRequest) -> tide::Result {
     let context = request.state();
     let standing = context.standing();
-    let revision: ids::Revision = context.holder.view().state.revision;
+    let revision: ids::Revision = context.steering.lookups().revision();
     let status = match standing.is_open() && context.steering.is_open() {
         true => StatusCode::Ok,
         false => StatusCode::ServiceUnavailable,
--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -6,7 +6,7 @@
 use model::fault::InputFault;
 use model::ids;
 use serde::{Deserialize, Serialize};
-use steer::lookup::HostTarget;
+use steer::lookup::{self, HostTarget};
 
 use crate::context::EntryContext;
 
@@ -68,17 +68,21 @@
         Some(text) => Some(parse_address(text)?),
         None => connection,
     };
+    let table = context.steering.lookups();
+    let by_zone = |zone: &str, caller: Option<IpAddr>| {
+        table.by_zone(zone, caller.map_or(0, lookup::caller_hash))
+    };
     let targets = match (&query.zone, caller) {
         (Some(zone), _) if !ids::is_name(zone) => {
             return Err(InputFault::new("zone", zone, "a name of a-z, 0-9, - and ."));
         }
-        (Some(zone), caller) => context.steering.hosts_by_zone(zone, caller),
-        (None, Some(caller)) => context.steering.hosts_by_address(caller),
-        (None, None) => context.steering.hosts_by_zone(&context.settings.zone, None),
+        (Some(zone), caller) => by_zone(zone, caller),
+        (None, Some(caller)) => table.by_address(caller),
+        (None, None) => by_zone(&context.settings.zone, None),
     };
     Ok(LookupAnswer {
         hosts: targets.iter().map(LookupHost::from).collect(),
-        revision: context.holder.view().state.revision,
+        revision: table.revision(),
     })
 }
 
--- a/crates/entry/src/steering.rs
+++ b/crates/entry/src/steering.rs
@@ -1,7 +1,6 @@
 //! Routing and look-up tables of this host, which are rebuilt when the current state changes.
 
 use std::collections::BTreeSet;
-use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,7 +12,6 @@
 use model::state::ForceState;
 use registry::BackendRegistry;
 use serde_json::{json, Value};
-use steer::lookup::{self, HostTarget};
 use steer::{LookupTable, RouteTable, TableBuilder};
 
 use crate::context::EntryContext;
@@ -58,15 +56,9 @@
         self.routes.table()
     }
 
-    /// Returns the entry hosts for a caller in a zone, in order of preference.
-    pub fn hosts_by_zone(&self, zone: &str, caller: Option<IpAddr>) -> Vec<Arc<HostTarget>> {
-        let hash = caller.map_or(0, lookup::caller_hash);
-        self.lookups.load().by_zone(zone, hash)
-    }
-
-    /// Returns the entry hosts for a caller with an IP address, in order of preference.
-    pub fn hosts_by_address(&self, caller: IpAddr) -> Vec<Arc<HostTarget>> {
-        self.lookups.load().by_address(caller)
+    /// Returns the current look-up table.
+    pub fn lookups(&self) -> Arc<LookupTable> {
+        self.lookups.load_full()
     }
 
     /// Returns the revision and the demand of the routing table for a state dump.
--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -84,6 +84,8 @@
     forwarder: Arc<RequestForwarder>,
     fallback: Arc<dyn FallbackHandler>,
     phase: watch::Sender<ServerPhase>,
+    /// Number of listeners that accept connections.
+    listeners: watch::Sender<usize>,
     /// Free connections up to the limit.
     connections: Arc<Semaphore>,
     /// Free connections above the limit whose request gets a refusal.
@@ -98,6 +100,7 @@
             forwarder,
             fallback,
             phase: watch::Sender::new(ServerPhase::Serving),
+            listeners: watch::Sender::new(0),
             connections: Arc::new(connections),
             refusals: Arc::new(Semaphore::new(MAX_REFUSED_CONNECTIONS)),
         };
@@ -114,6 +117,7 @@
 
     /// Accepts connections until the server is stopped. Must run in an async-std task.
     pub async fn serve(&self, listener: TcpListener) {
+        self.shared.listeners.send_modify(|count| *count += 1);
         let mut phase = self.shared.phase.subscribe();
         let mut idle_checks = tokio::time::interval(IDLE_CHECK_INTERVAL);
         loop {
@@ -131,10 +135,13 @@
         while let Some(accepted) = listener.accept().now_or_never() {
             self.handle_accepted(accepted).await;
         }
+        drop(listener);
+        self.shared.listeners.send_modify(|count| *count -= 1);
     }
 
     /// Shuts down gracefully within `timeout`: every response announces the end of its connection,
-    /// connections without a request are closed, and running requests are finished.
+    /// the listeners and the connections without a request are closed, and running requests are
+    /// finished.
     pub async fn stop(&self, timeout: Duration) -> StopReport {
         let end = Instant::now() + timeout;
         let open = self.connections();
@@ -142,6 +149,9 @@
         self.shared.phase.send_replace(ServerPhase::Closing);
         tokio::time::sleep(CLOSE_GRACE.min(timeout / 2)).await;
         self.shared.phase.send_replace(ServerPhase::ClosingIdle);
+        let mut listeners = self.shared.listeners.subscribe();
+        let closed = listeners.wait_for(|count| *count == 0);
+        let _ = tokio::time::timeout_at(end.into(), closed).await;
         let max = self.shared.forwarder.settings().max_connections;
         let all = self.shared.connections.acquire_many(max as u32);
         let _ = tokio::time::timeout_at(end.into(), all).await;
--- a/crates/forward/tests/planned_stop.rs
+++ b/crates/forward/tests/planned_stop.rs
@@ -4,11 +4,12 @@
 
 mod support;
 
-use std::net::TcpStream;
+use std::net::{Ipv4Addr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use forward::idempotency::ClaimOutcome;
+use futures_util::future::{self, Either};
 use support::{get, ok, post, respond, wait_until, BackendAction, FakeBackend, TestServer};
 
 /// Starts a graceful shutdown and returns the number of unfinished connections and runs.
@@ -67,6 +68,28 @@
     assert!(TcpStream::connect(server.address).is_err());
 }
 
+/// The task that accepts connections may run later than the one that stops the server; until then
+/// the kernel accepts connections that nobody serves.
+#[test]
+fn stop_ends_only_after_the_listener_is_closed() {
+    let server = TestServer::start(&[]).caller_server;
+    async_std::task::block_on(async {
+        let listener = tokio::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let listener = listener.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut serving = std::pin::pin!(server.serve(listener));
+        assert!(futures_util::poll!(serving.as_mut()).is_pending());
+        // Whenever both can run, the stop runs first.
+        let stopping = std::pin::pin!(server.stop(Duration::from_secs(5)));
+        let report = match future::select(stopping, serving.as_mut()).await {
+            Either::Left((report, _)) => report,
+            Either::Right(((), stopping)) => stopping.await,
+        };
+        assert_eq!(report.unfinished, 0);
+        assert!(TcpStream::connect(address).is_err());
+    });
+}
+
 #[test]
 fn run_under_a_key_finishes_before_the_stop_after_its_caller_disconnects() {
     let backend = FakeBackend::start(vec![BackendAction::RespondAfterMs(800, ok("booked"))]);
--- a/crates/steer/src/lookup.rs
+++ b/crates/steer/src/lookup.rs
@@ -38,6 +38,7 @@
 /// are left out: those that are stopping, lost or cut off.
 #[derive(Debug, Clone)]
 pub struct LookupTable {
+    revision: ids::Revision,
     blocks: BlockTable,
     sites: Arc<SiteNames>,
     zones: HashMap<ids::ZoneName, ZoneHosts>,
@@ -73,6 +74,7 @@
             .filter_map(|(prefix, block)| sites.block(prefix, block))
             .collect();
         Self {
+            revision: 0,
             blocks: BlockTable::new(&blocks),
             sites: Arc::new(sites),
             zones: HashMap::new(),
@@ -96,6 +98,7 @@
             numbers,
         };
         Self {
+            revision: 0,
             blocks: BlockTable::new(blocks),
             sites: Arc::new(sites),
             zones: HashMap::new(),
@@ -104,6 +107,11 @@
         .with_hosts(state, closed)
     }
 
+    /// Returns the revision of the state that the entry hosts are from.
+    pub fn revision(&self) -> ids::Revision {
+        self.revision
+    }
+
     /// Returns a table with the same blocks and the entry hosts of a state, without the closed
     /// hosts.
     #[must_use]
@@ -128,6 +136,7 @@
             }
         }
         Self {
+            revision: state.revision,
             blocks: self.blocks.clone(),
             sites: Arc::clone(&self.sites),
             zones,
@@ -171,6 +180,7 @@
             blocks = blocks.with_v6(&sites.v6_blocks(state));
         }
         Self {
+            revision: 0,
             blocks,
             sites: Arc::new(sites),
             zones: HashMap::new(),
--- a/crates/steer/tests/lookups.rs
+++ b/crates/steer/tests/lookups.rs
@@ -155,6 +155,18 @@
     }
 }
 
+/// The look-up answer states this revision; that of a newer state could come with the former hosts.
+#[test]
+fn a_table_has_the_revision_of_the_state_that_its_hosts_are_from() {
+    let mut state = state_with_hosts();
+    state.revision = 4;
+    let table = LookupTable::new(&state, &BTreeSet::new());
+    assert_eq!(table.revision(), 4);
+    state.revision = 5;
+    assert_eq!(table.with_hosts(&state, &BTreeSet::new()).revision(), 5);
+    assert_eq!(table.revision(), 4);
+}
+
 #[test]
 fn hosts_of_the_callers_zone_come_first_and_the_last_host_is_of_another_region() {
     let table = LookupTable::new(&state_with_hosts(), &BTreeSet::new());
