--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -15,6 +15,10 @@
 /// refused.
 const MAX_ENDED_INCARNATIONS: usize = 4_096;
 
+/// Maximum number of accepted configurations whose digests are remembered, about those of a day. A
+/// resent configuration that is older gets the outcome of a conflict.
+const MAX_REMEMBERED_SITES: usize = 8_192;
+
 /// The configuration in force.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SiteRecord {
@@ -32,7 +36,7 @@
 pub struct FleetState {
     revision: ids::Revision,
     site: Option<SiteRecord>,
-    /// Digest of each accepted configuration, so that a resent one is recognised.
+    /// Digests of the latest accepted configurations, so that a resent one is recognised.
     accepted: BTreeMap<ids::SiteVersion, ids::SiteDigest>,
     servers: BTreeMap<ids::ServerId, ServerRecord>,
     /// Start time of the latest incarnation that left under each id, and the log index at which it
@@ -87,7 +91,7 @@
     ) -> (CommandOutcome, Vec<FleetChange>) {
         let (outcome, changes) = match command {
             FleetCommand::Replace(replacement) => self.replace(replacement),
-            FleetCommand::Announce(record) => self.announce(record),
+            FleetCommand::Announce(record) => self.announce(revision, record),
             FleetCommand::Leave { id, born } => self.leave(revision, &id, born),
             FleetCommand::Expire(incarnations) => self.expire(incarnations),
             FleetCommand::Evacuate(zone) => self.evacuate(revision, zone),
@@ -112,6 +116,9 @@
             return (CommandOutcome::OldVersion, Vec::new());
         }
         self.accepted.insert(replacement.version, digest);
+        while self.accepted.len() > MAX_REMEMBERED_SITES {
+            self.accepted.pop_first();
+        }
         let change = FleetChange::Site {
             version: replacement.version,
             site: replacement.site.clone(),
@@ -156,7 +163,11 @@
         (!has_successor).then_some(merged)
     }
 
-    fn announce(&mut self, record: ServerRecord) -> (CommandOutcome, Vec<FleetChange>) {
+    fn announce(
+        &mut self,
+        revision: ids::Revision,
+        record: ServerRecord,
+    ) -> (CommandOutcome, Vec<FleetChange>) {
         let Some(merged) = self.merge_announcement(&record) else {
             return (CommandOutcome::Unchanged, Vec::new());
         };
@@ -165,9 +176,11 @@
             .servers
             .values()
             .filter(|other| other.address == merged.address && other.id != merged.id)
-            .map(|other| other.id.clone())
+            .map(|other| (other.id.clone(), other.born))
             .collect();
-        for id in replaced {
+        for (id, born) in replaced {
+            // A late announcement of the replaced server may come after its successor has left.
+            self.record_departure(revision, &id, born);
             self.servers.remove(&id);
             changes.push(FleetChange::ServerGone(id));
         }
--- a/crates/fleet/tests/state.rs
+++ b/crates/fleet/tests/state.rs
@@ -100,6 +100,35 @@
     assert_eq!(log.version(), Some(9));
 }
 
+#[test]
+fn digests_are_kept_of_the_latest_configurations_only() {
+    const KEPT: u64 = 8_192;
+    let mut log = TestLog::default();
+    for version in 1..=KEPT + 1 {
+        let outcome = log.site(version, version - 1, &version.to_string());
+        assert_eq!(outcome, CommandOutcome::Accepted);
+    }
+    assert_eq!(log.site(2, 1, "2"), CommandOutcome::Accepted);
+    assert_eq!(log.site(1, 0, "1"), CommandOutcome::Conflict);
+    assert_eq!(log.version(), Some(KEPT + 1));
+}
+
+/// An announcement that was delayed on its way arrives after its server was replaced at its address and
+/// the successor has left.
+#[test]
+fn a_replaced_server_does_not_return_after_its_successor_left() {
+    let mut log = TestLog::default();
+    log.announce("old", 10, 80, ServerState::Ready);
+    log.announce("new", 20, 80, ServerState::Ready);
+    log.apply(FleetCommand::Leave {
+        id: "new".to_string(),
+        born: Some(20),
+    });
+    let late = log.announce("old", 10, 80, ServerState::Ready);
+    assert_eq!(late, CommandOutcome::Unchanged);
+    assert!(log.state.server("old").is_none());
+}
+
 #[test]
 fn draining_is_final_within_one_incarnation() {
     let mut log = TestLog::default();
