feat(gateway,balance): what servers ask in their answers, answers without end, late copies

- An answer with the leaving header or a 503 with Retry-After binds this host from the moment its head is read: the incarnation gets nothing more, or nothing until the end of the rest, on all paths, also if it is announced, removed or listed again meanwhile.
A later incarnation is free.
If all servers rest, the caller is refused at once with the time that is left.
Bodies draw on a budget of the process's memory (an eighth for the first 256 KiB of each, half for the rest).
- A planned stop reset connections in the listener's backlog; they are served.
A stopping connection with an unanswered pipelined request no longer keeps the thread; the idle time counts from the last answer.
Before a request is sent, its deadline and the server's permission are checked again.
- A retry that the balancer refuses returns to the budget; a route without positive weight sends nothing; a huge announced idle timeout doesn't overflow; a cold mark doesn't count as a call.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3;
 
 use crate::group::{ServiceGroup, INITIAL_PROCESSING_TIME};
+use crate::notice::{NoticeTable, ServerNotice};
 use crate::query::{AttemptReport, ChosenServer, LoadRefusal, ServerKey, ServerQuery};
 use crate::server::{AttemptEnd, TrackedServer};
 use crate::settings::BalanceSettings;
@@ -29,6 +30,7 @@
     pub(crate) groups: HashMap<ids::ServiceName, ServiceGroup>,
     pub(crate) specs: HashMap<ids::ServiceName, ServiceSpec>,
     pub(crate) evacuated: Vec<ids::ZoneName>,
+    notices: NoticeTable,
     /// Names and zones of the entry hosts that are ready.
     pub(crate) hosts: Vec<(String, ids::ZoneName)>,
 }
@@ -44,6 +46,7 @@
             groups: HashMap::new(),
             specs: HashMap::new(),
             evacuated: Vec::new(),
+            notices: NoticeTable::default(),
             hosts: Vec::new(),
         }
     }
@@ -124,6 +127,11 @@
         self.group_mut(service).budget.try_withdraw()
     }
 
+    /// Returns a withdrawn retry that wasn't sent to the retry budget of a service.
+    pub fn refund_retry(&mut self, service: &str) {
+        self.group_mut(service).budget.refund();
+    }
+
     /// Returns the expected processing time of a request to a service at a backend server that has
     /// the request's object in its cache.
     pub fn typical_processing_time(&self, service: &str) -> Duration {
@@ -149,10 +157,10 @@
         let spills = self.decide_spill(now, query, &region_loads);
         let candidates = self.candidates(now, query, &region_loads, spills);
         let Some(best) = self.best_candidate(query, &candidates, spills) else {
-            return Err(self.refusal(query, &candidates));
+            return Err(self.refusal(now, query, &candidates));
         };
         if best.cold && !self.try_take_cold_token(now, best.key) {
-            return Err(self.refusal(query, &candidates));
+            return Err(self.refusal(now, query, &candidates));
         }
         let server = &mut self.servers[best.key];
         server.begin_request();
@@ -198,6 +206,34 @@
         }
     }
 
+    /// Returns whether a backend server that was chosen may still get the request: it is in the view
+    /// and accepts requests. Time passes between the choice and the send while a connection is opened
+    /// or the process is suspended.
+    pub fn may_send(&self, now: Instant, key: ServerKey) -> bool {
+        let server = self.servers.get(key);
+        server.is_some_and(|server| server.accepts_requests() && !server.is_resting(now))
+    }
+
+    /// Records a notice in an answer of a backend server. It concerns the incarnation in `record`,
+    /// whether or not that is in the view, and returns whether it changes anything.
+    pub fn record_notice(
+        &mut self,
+        now: Instant,
+        record: &ServerRecord,
+        notice: ServerNotice,
+    ) -> bool {
+        let host = &self.settings.host;
+        let before = self.notices.state(record);
+        let notices = self.notices.record(now, host, record, notice);
+        let known = self.keys.get(&record.id).copied();
+        if let Some(server) = known.and_then(|key| self.servers.get_mut(key)) {
+            if server.record.born == record.born {
+                server.set_notices(notices);
+            }
+        }
+        notices != before
+    }
+
     /// Returns the state of a service, which is created if it doesn't exist.
     pub(crate) fn group_mut(&mut self, service: &str) -> &mut ServiceGroup {
         let group = self.groups.entry(service.to_string());
@@ -227,6 +263,7 @@
         let region = self.settings.region(&record.zone).to_string();
         let mut server = TrackedServer::new(record, region);
         server.evacuated = self.evacuated.contains(&server.record.zone);
+        server.set_notices(self.notices.state(&server.record));
         let key = self.servers.insert(server);
         self.keys.insert(id, key);
         self.group_mut(&service).servers.push(key);
--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -37,4 +37,9 @@
         }
         available
     }
+
+    /// Returns a withdrawn retry that wasn't sent.
+    pub fn refund(&mut self) {
+        self.tokens += 1.0;
+    }
 }
--- a/crates/balance/src/candidate.rs
+++ b/crates/balance/src/candidate.rs
@@ -128,6 +128,7 @@
                 && cold
                 && server.accepts_requests()
                 && !server.is_ejected(now)
+                && !server.is_resting(now)
                 && !query.tried.contains(key)
         });
         let usable: Vec<_> = usable.collect();
@@ -278,8 +279,8 @@
 
     /// Returns the time after which a client may retry a request that backend servers rejected.
     ///
-    /// This is the shortest expected queueing time at these servers, with a small minimum, or the
-    /// typical processing time of the service if none of them has a recent load report.
+    /// This is the shortest expected queueing time or rest of these servers, with a small minimum, or
+    /// the typical processing time of the service if none of them has a recent load report.
     pub fn retry_after_rejection(
         &self,
         now: Instant,
@@ -289,8 +290,14 @@
         let group = self.groups.get(service);
         let servers = rejected.iter().filter_map(|key| self.servers.get(*key));
         let waits = servers.filter_map(|server| {
+            let rest = server.rest_left(now).map(|rest| rest.as_secs_f64());
             let slots = f64::from(server.record.slots.max(1));
-            Some(group?.queue_wait(server.reported_load(now)?, slots))
+            let load = server.reported_load(now);
+            let wait = group
+                .zip(load)
+                .map(|(group, load)| group.queue_wait(load, slots));
+            // A server that rests may also have a queue.
+            rest.into_iter().chain(wait).max_by(f64::total_cmp)
         });
         match waits.min_by(f64::total_cmp) {
             Some(wait) => Duration::from_secs_f64(wait).max(MIN_RETRY_AFTER_REJECTION),
@@ -298,9 +305,25 @@
         }
     }
 
+    /// Returns the time until the first of the backend servers that rest, but could else get the
+    /// request, is a candidate again.
+    fn shortest_rest(&self, now: Instant, query: &ServerQuery<'_>) -> Option<Duration> {
+        let group = self.groups.get(query.service)?;
+        let keys = group.servers.iter();
+        let servers = keys.filter(|key| !query.tried.contains(key));
+        let rests = servers.filter_map(|key| {
+            let server = &self.servers[*key];
+            let home = query.home_regions.is_empty() || query.home_regions.contains(&server.region);
+            let rest = server.rest_left(now)?;
+            (home && server.accepts_requests()).then_some(rest)
+        });
+        rests.min()
+    }
+
     /// Returns the refusal for a request that no candidate was chosen for.
     pub(crate) fn refusal(
         &self,
+        now: Instant,
         query: &ServerQuery<'_>,
         candidates: &[ServerCandidate],
     ) -> LoadRefusal {
@@ -310,15 +333,17 @@
             limit: candidate.latency_limit(query),
         });
         let soonest = soonest.min_by(|a, b| a.forecast.seconds().total_cmp(&b.forecast.seconds()));
-        let (cause, retry_after) = match soonest {
-            None => {
+        let (cause, retry_after) = match (soonest, self.shortest_rest(now, query)) {
+            (None, Some(rest)) => (RefusalCause::Resting, rest.max(MIN_RETRY_AFTER)),
+            (None, None) => {
                 let typical = self.typical_processing_time(query.service);
                 (RefusalCause::NoServer, typical.max(MIN_RETRY_AFTER * 4))
             }
-            Some(soonest) => {
+            (Some(soonest), rest) => {
                 let excess = (soonest.forecast.seconds() - soonest.limit).max(0.0);
                 let excess = Duration::from_secs_f64(excess);
-                (RefusalCause::Full, excess.max(MIN_RETRY_AFTER))
+                let soonest = rest.map_or(excess, |rest| rest.min(excess));
+                (RefusalCause::Full, soonest.max(MIN_RETRY_AFTER))
             }
         };
         LoadRefusal {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`query`] | inputs and results of the balancer |
 //! | [`server`] | load, health and cache state of one backend server |
 //! | [`spill`] | the share of a region's requests that runs in other regions |
+//! | [`notice`] | what servers ask of this host in their answers |
 //! | [`budget`] | the retry budget |
 //! | [`settings`] | limits, and the location of the host |
 //!
@@ -22,6 +23,7 @@
 mod candidate;
 mod decay;
 mod group;
+pub mod notice;
 pub mod query;
 mod region;
 pub mod server;
--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -101,6 +101,8 @@
 pub enum RefusalCause {
     /// The service has no candidate.
     NoServer,
+    /// The service has no candidate, but a backend server that asked for a rest will be one.
+    Resting,
     /// No candidate can answer in time, or the chosen one is cold and its rate limit is reached.
     Full,
 }
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -8,6 +8,7 @@
 use guard::bucket::RateBucket;
 
 use crate::decay;
+use crate::notice::NoticeState;
 
 /// Half-life of the weight of a load report.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
@@ -74,6 +75,11 @@
     Unreachable,
     /// The connection broke after the request was sent, or the answer was invalid.
     Broken,
+    /// The answer exceeded a size limit.
+    Oversized,
+    /// The request wasn't sent, because the backend server must not get it any more or its deadline
+    /// had passed.
+    Withdrawn,
     /// No answer came in time.
     Late,
     /// The attempt was cancelled: the client disconnected, the deadline passed, or another attempt
@@ -105,6 +111,9 @@
     pub evacuated: bool,
     /// Whether this host is the only one that sends requests to the server while it is cold.
     pub cold_owner: bool,
+    notices: NoticeState,
+    /// Whether the server asked for a rest and hasn't run a request since.
+    rested: bool,
     /// Requests of this host that have no result yet.
     in_flight: u32,
     /// Load by other hosts according to the latest report.
@@ -140,6 +149,8 @@
             region,
             evacuated: false,
             cold_owner: false,
+            notices: NoticeState::default(),
+            rested: false,
             in_flight: 0,
             others_load: 0.0,
             others_average: 0.0,
@@ -158,10 +169,27 @@
         }
     }
 
-    /// Returns whether the server may get new requests: it isn't draining and its zone isn't
-    /// evacuated.
+    /// Returns whether the server may get new requests: it is neither draining nor leaving, and its
+    /// zone isn't evacuated.
     pub fn accepts_requests(&self) -> bool {
-        self.record.state == ServerState::Ready && !self.evacuated
+        self.record.state == ServerState::Ready && !self.evacuated && !self.notices.leaving
+    }
+
+    /// Sets the notices of the server that are in force.
+    pub fn set_notices(&mut self, notices: NoticeState) {
+        self.rested |= notices.rest_until > self.notices.rest_until;
+        self.notices = notices;
+    }
+
+    /// Returns whether the server asked this host for a rest that isn't over.
+    pub fn is_resting(&self, now: Instant) -> bool {
+        self.notices.is_resting(now)
+    }
+
+    /// Returns the time until the end of the rest that the server asked for.
+    pub fn rest_left(&self, now: Instant) -> Option<Duration> {
+        let until = self.notices.rest_until.filter(|until| now < *until)?;
+        Some(until.saturating_duration_since(now))
     }
 
     /// Returns whether the server is ejected after failures.
@@ -169,10 +197,10 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
-    /// Returns whether the server was ejected and hasn't answered since. After the ejection it gets
-    /// one request at a time until it answers.
+    /// Returns whether the server was ejected or rested, and hasn't answered since. It gets one
+    /// request at a time until it answers.
     pub fn is_recovering(&self) -> bool {
-        self.ejections > 0
+        self.ejections > 0 || self.rested
     }
 
     /// Returns whether the server's cache is, or may be, cold.
@@ -308,6 +336,7 @@
         match end {
             AttemptEnd::Answered => {
                 self.record_failure(0.0);
+                self.rested = false;
                 self.ejections = 0;
                 self.broken_connections = 0;
             }
@@ -333,7 +362,7 @@
                     self.failure_rate = EJECTION_FAILURE_RATE / 2.0;
                 }
             }
-            AttemptEnd::Unreachable | AttemptEnd::Late => {
+            AttemptEnd::Unreachable | AttemptEnd::Late | AttemptEnd::Oversized => {
                 self.record_failure(1.0);
                 self.eject(now);
             }
@@ -345,7 +374,7 @@
                 }
             }
             AttemptEnd::Misdirected => self.eject(now),
-            AttemptEnd::Dropped => {}
+            AttemptEnd::Dropped | AttemptEnd::Withdrawn => {}
         }
     }
 
--- a/crates/director/src/liveness.rs
+++ b/crates/director/src/liveness.rs
@@ -87,9 +87,17 @@
         entry.unreported |= unreported;
     }
 
-    /// Records that a backend server is cold from now on. The server counts as seen now.
+    /// Records that a backend server is cold from now on. An incarnation that is known isn't thereby
+    /// seen.
     pub fn set_cold(&mut self, now: Instant, id: &str, born: ids::StartTime, cold: Duration) {
-        self.merge_server(now, id, born, now, cold, false);
+        let known = self.servers.get_mut(id).filter(|entry| entry.born == born);
+        match known {
+            Some(entry) if !cold.is_zero() => {
+                entry.cold_until = entry.cold_until.max(now + cold + COLD_MARGIN);
+            }
+            Some(_) => {}
+            None => self.merge_server(now, id, born, now, cold, false),
+        }
     }
 
     /// Records a call of an entry host to this replica. Returns whether the host is new, was silent
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -110,8 +110,13 @@
 
     /// Sends a request and waits for the head of its response.
     pub(crate) async fn send(&mut self, request: Request<RequestBody>) -> SendOutcome {
+        self.connection.begin_head();
         match self.connection.sender.try_send_request(request).await {
-            Ok(response) => SendOutcome::Head(response),
+            Ok(response) => {
+                // The body is passed on as it comes, so its size has no limit.
+                self.connection.begin_body(usize::MAX);
+                SendOutcome::Head(response)
+            }
             Err(mut err) => match err.take_message() {
                 Some(request) => SendOutcome::NotSent(request),
                 None => SendOutcome::Broken(err.into_error()),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,14 +4,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use balance::notice::{ServerNotice, MAX_REST};
 use balance::query::{AttemptReport, ChosenServer};
 use balance::server::{AttemptEnd, ReportedLoad};
 use bytes::Bytes;
-use http::header::{HeaderMap, CONNECTION, CONTENT_ENCODING, HOST};
+use http::header::{HeaderMap, CONNECTION, CONTENT_ENCODING, HOST, RETRY_AFTER};
 use http::{Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
+use crate::buffer::{BufferBudget, BufferError};
 use crate::metrics::GatewayMetrics;
 use crate::pool::{self, ServerConnection, ServerPool};
 use crate::request::{self, ForwardRequest};
@@ -134,6 +136,8 @@
     pub state: Arc<GatewayState>,
     /// Connections to backend servers.
     pub pool: ServerPool,
+    /// Memory for the bodies of requests and answers.
+    pub buffers: BufferBudget,
     /// Names of headers.
     pub names: HeaderNames,
     /// Counters and histograms.
@@ -167,19 +171,37 @@
             Err(e) => return not_run(AttemptEnd::Unreachable, false, None, e.to_string()),
         };
         guard.reused = Some(connection.reused);
+        let now = Instant::now();
+        if request.remaining(now).is_zero() {
+            self.pool.release(address, connection);
+            return not_run(AttemptEnd::Withdrawn, false, None, "deadline passed".into());
+        }
+        if !self.state.balancer().may_send(now, guard.chosen.key) {
+            self.pool.release(address, connection);
+            return not_run(
+                AttemptEnd::Withdrawn,
+                false,
+                None,
+                "server closed to it".into(),
+            );
+        }
+        connection.http.begin_head();
         let message = self.build_message(request, &guard.chosen);
         let response = match connection.http.sender.try_send_request(message).await {
             Ok(response) => response,
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
-                let reason = error.into_error().to_string();
+                let error = error.into_error();
                 if unsent {
-                    return not_run(AttemptEnd::Unreachable, false, None, reason);
+                    return not_run(AttemptEnd::Unreachable, false, None, error.to_string());
+                }
+                if error.is_parse_too_large() || connection.http.is_exhausted() {
+                    return oversized("a head without end");
                 }
-                return broken(reason);
+                return broken(error.to_string());
             }
         };
-        let address = guard.chosen.record.address;
+        self.record_notices(&guard.chosen, &response);
         self.read_answer(request, address, connection, response)
             .await
     }
@@ -218,10 +240,17 @@
         if id_matches == Some(false) {
             return broken("an answer to another request came".to_string());
         }
+        // It may be a late second copy of the answer to an earlier request.
+        if id_matches.is_none() && connection.reused && !request.id.is_empty() {
+            return broken("an answer without id came on a reused connection".to_string());
+        }
         let load = self.reported_load(&parts.headers);
-        let body = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(e) => return broken(format!("the answer was cut: {e}")),
+        connection.http.begin_body(MAX_ANSWER_BYTES);
+        let body = match self.buffers.collect(body, MAX_ANSWER_BYTES).await {
+            Ok(body) => body,
+            Err(BufferError::TooLarge) => return oversized("a body over the limit"),
+            Err(_) if connection.http.is_exhausted() => return oversized("a body without end"),
+            Err(e) => return broken(e.to_string()),
         };
         let closes = has_connection_close(&parts.headers);
         if let Some(timeout) = announced_idle_timeout(&parts.headers) {
@@ -251,6 +280,36 @@
         (AttemptResult::Answer(answer), end, load)
     }
 
+    /// Records what an answer asks of this host, as soon as its head is read.
+    fn record_notices(&self, chosen: &ChosenServer, response: &Response<Incoming>) {
+        let (status, headers) = (response.status(), response.headers());
+        // Another server has the address; its notices don't concern the chosen one.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let leaving = headers.get(&self.names.leaving);
+        let leaving = leaving.is_some_and(|value| value.as_bytes().trim_ascii() == b"1");
+        let rest = (status == StatusCode::SERVICE_UNAVAILABLE)
+            .then(|| requested_rest(headers, &chosen.record.id))
+            .flatten();
+        let notices = [
+            leaving.then_some(ServerNotice::Leaving),
+            rest.map(ServerNotice::Rest),
+        ];
+        for notice in notices.into_iter().flatten() {
+            let now = Instant::now();
+            let mut balancer = self.state.balancer();
+            if balancer.record_notice(now, &chosen.record, notice) {
+                log::info!(
+                    target: "server",
+                    "server gets no more requests; server={} born={} notice={notice:?}",
+                    chosen.record.id,
+                    chosen.record.born,
+                );
+            }
+        }
+    }
+
     /// Returns whether a success comes unchanged from the backend server and belongs to the
     /// request.
     fn is_authentic(&self, headers: &HeaderMap, id_matches: Option<bool>) -> bool {
@@ -290,6 +349,30 @@
     (result, AttemptEnd::Broken, None)
 }
 
+fn oversized(reason: &str) -> AttemptOutcome {
+    let reason = reason.to_string();
+    let result = AttemptResult::MayHaveRun { reason };
+    (result, AttemptEnd::Oversized, None)
+}
+
+/// Returns the rest that a backend server asks for in the `retry-after` header, in seconds with an
+/// optional fraction, limited to [`MAX_REST`].
+fn requested_rest(headers: &HeaderMap, server: &str) -> Option<Duration> {
+    let value = headers.get(RETRY_AFTER)?;
+    let seconds = value
+        .to_str()
+        .ok()
+        .and_then(|value| value.trim().parse::<f64>().ok());
+    let Some(seconds) = seconds.filter(|seconds| *seconds >= 0.0) else {
+        log::warn!(target: "server", "retry-after ignored, as it holds no seconds; server={server} value={value:?}");
+        return None;
+    };
+    if seconds > MAX_REST.as_secs_f64() {
+        log::warn!(target: "server", "retry-after limited to {MAX_REST:?}; server={server} value={value:?}");
+    }
+    Some(Duration::from_secs_f64(seconds.min(MAX_REST.as_secs_f64())))
+}
+
 /// Returns a request target in origin form: the path and the query.
 fn origin_form(target: &Uri) -> Uri {
     let path = target.path_and_query().cloned();
--- /dev/null
+++ b/crates/gateway/src/buffer.rs
@@ -0,0 +1,130 @@
+//! Memory for bodies of requests and answers, which are buffered as a whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use quick_error::quick_error;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Bytes of a body that draw on the room for small bodies; the rest draws on that for large ones. So
+/// large bodies can't take the room of small ones.
+const SMALL_BODY_BYTES: usize = 256 << 10;
+
+/// Share of the memory of the process for the first bytes of all bodies.
+const SMALL_SHARE: f64 = 0.125;
+
+/// Share of the memory of the process for the rest of large bodies.
+const LARGE_SHARE: f64 = 0.5;
+
+quick_error! {
+    /// Reason why a body isn't buffered.
+    #[derive(Debug)]
+    pub enum BufferError {
+        /// The body exceeds its size limit.
+        TooLarge {
+            display("the body is larger than its limit")
+        }
+        /// The buffered bodies of all connections take all room.
+        NoRoom {
+            display("there is no room to buffer the body")
+        }
+        /// The connection failed before the body was complete.
+        Truncated(err: hyper::Error) {
+            from()
+            source(err)
+            display("the body was cut: {err}")
+        }
+    }
+}
+
+/// Limits the bytes of the bodies that are buffered at the same time.
+#[derive(Debug, Clone)]
+pub struct BufferBudget {
+    small: Arc<Semaphore>,
+    large: Arc<Semaphore>,
+}
+
+/// A buffered body; its bytes return to the budget when it is dropped.
+struct BufferedBody {
+    bytes: Vec<u8>,
+    permits: Vec<OwnedSemaphorePermit>,
+}
+
+impl AsRef<[u8]> for BufferedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl BufferBudget {
+    /// Creates the budget of a process that may use `memory` bytes.
+    pub fn new(memory: usize) -> Self {
+        let share = |share: f64| Arc::new(Semaphore::new((memory as f64 * share) as usize));
+        Self {
+            small: share(SMALL_SHARE),
+            large: share(LARGE_SHARE),
+        }
+    }
+
+    /// Buffers a body of at most `max_bytes` bytes. Its room is free again when the last clone of the
+    /// returned bytes is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is too large, if there is no room for it, or if its connection fails.
+    pub async fn collect(
+        &self,
+        mut body: Incoming,
+        max_bytes: usize,
+    ) -> Result<Bytes, BufferError> {
+        let announced = body.size_hint().lower();
+        if announced > max_bytes as u64 {
+            return Err(BufferError::TooLarge);
+        }
+        let mut buffered = BufferedBody {
+            bytes: Vec::new(),
+            permits: Vec::new(),
+        };
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else {
+                continue;
+            };
+            let length = buffered.bytes.len() + data.len();
+            if length > max_bytes {
+                return Err(BufferError::TooLarge);
+            }
+            self.reserve(&mut buffered, data.len())?;
+            buffered.bytes.extend_from_slice(&data);
+        }
+        if buffered.bytes.is_empty() {
+            return Ok(Bytes::new());
+        }
+        Ok(Bytes::from_owner(buffered))
+    }
+
+    /// Takes room for the next `length` bytes of a body.
+    fn reserve(&self, body: &mut BufferedBody, length: usize) -> Result<(), BufferError> {
+        let small = SMALL_BODY_BYTES
+            .saturating_sub(body.bytes.len())
+            .min(length);
+        for (room, part) in [(&self.small, small), (&self.large, length - small)] {
+            if part == 0 {
+                continue;
+            }
+            let part = u32::try_from(part).map_err(|_| BufferError::TooLarge)?;
+            let permit = Arc::clone(room).try_acquire_many_owned(part);
+            let permit = permit.map_err(|_| BufferError::NoRoom)?;
+            match body
+                .permits
+                .iter_mut()
+                .find(|held| Arc::ptr_eq(held.semaphore(), room))
+            {
+                Some(held) => held.merge(permit),
+                None => body.permits.push(permit),
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -62,6 +62,8 @@
     cause: String,
     /// Time after which the balancer expects to admit a retry.
     retry_after: Option<Duration>,
+    /// Whether that time is the end of a rest that backend servers asked for.
+    rests: bool,
 }
 
 /// Forwards requests to backend servers.
@@ -116,8 +118,12 @@
                 ForwardEvent::Deadline => return ForwardEnd::Host(HostAnswer::TimedOut),
                 ForwardEvent::Hedge => {
                     may_hedge = false;
-                    if self.try_withdraw_retry(request, &progress) {
-                        let _ = self.start_attempt(request, &mut progress, &mut running);
+                    if self.try_withdraw_retry(request, &progress)
+                        && self
+                            .start_attempt(request, &mut progress, &mut running)
+                            .is_none()
+                    {
+                        self.refund_retry(request);
                     }
                 }
                 ForwardEvent::Done(Some(result)) => {
@@ -126,10 +132,13 @@
                     }
                     let may_retry = running.is_empty() && self.try_begin_retry(request, &progress);
                     if may_retry {
-                        if let Some(hedge_after) =
-                            self.start_attempt(request, &mut progress, &mut running)
-                        {
-                            hedge = Box::pin(tokio::time::sleep(hedge_after));
+                        let reached = progress.reached > 0;
+                        match self.start_attempt(request, &mut progress, &mut running) {
+                            Some(hedge_after) => {
+                                hedge = Box::pin(tokio::time::sleep(hedge_after));
+                            }
+                            None if reached => self.refund_retry(request),
+                            None => {}
                         }
                     }
                 }
@@ -238,6 +247,12 @@
             .try_withdraw_retry(&request.service)
     }
 
+    /// Returns a withdrawn retry or hedge that the balancer refused to the retry budget.
+    fn refund_retry(&self, request: &ForwardRequest) {
+        let mut balancer = self.sender.state.balancer();
+        balancer.refund_retry(&request.service);
+    }
+
     /// Returns the end of a request for which no attempt gave a final answer.
     fn unanswered_end(
         &self,
@@ -255,7 +270,7 @@
 
     /// Returns the refusal of a request that didn't run. Its retry-after time is the time after
     /// which the balancer expects to admit a retry, with jitter so that clients don't retry all at
-    /// once.
+    /// once. The end of a rest is certain, so it is given even if the client won't wait for it.
     fn refusal(&self, request: &ForwardRequest, progress: &ForwardProgress) -> HostAnswer {
         let now = Instant::now();
         let retry_after = progress.retry_after.unwrap_or_else(|| {
@@ -263,7 +278,10 @@
             balancer.retry_after_rejection(now, &request.service, &progress.tried)
         });
         let jitter = rand::rng().random_range(1.0..1.0 + RETRY_AFTER_JITTER);
-        let max = request.remaining(now).mul_f64(MAX_RETRY_AFTER_SHARE);
+        let max = match progress.rests {
+            true => Duration::MAX,
+            false => request.remaining(now).mul_f64(MAX_RETRY_AFTER_SHARE),
+        };
         HostAnswer::NotRun {
             cause: progress.cause.clone(),
             retry_after: retry_after.mul_f64(jitter).min(max),
@@ -312,11 +330,12 @@
 
 impl ForwardProgress {
     /// Records a refusal by the balancer. One that follows an attempt changes only the retry-after
-    /// time, and only if the backend servers are full.
+    /// time, and only if there are backend servers that are full or rest.
     fn record_refusal(&mut self, refusal: LoadRefusal) {
         let first = self.tried.is_empty();
-        if first || refusal.cause == RefusalCause::Full {
+        if first || refusal.cause != RefusalCause::NoServer {
             self.retry_after = Some(refusal.retry_after);
+            self.rests = refusal.cause == RefusalCause::Resting;
         }
         if first {
             self.cause = refusal.cause.to_string();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,11 +16,13 @@
 //! | [`forwarder`] | attempts, hedges and the answer to the client |
 //! | [`attempt`] | one attempt at one backend server |
 //! | [`pool`] | connections to backend servers |
+//! | [`buffer`] | memory for buffered bodies |
 //! | [`metrics`] | counters and histograms |
 //! | [`answer`] | answers that the host generates itself |
 
 pub mod answer;
 pub mod attempt;
+pub mod buffer;
 pub mod follower;
 pub mod forwarder;
 pub mod metrics;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -4,6 +4,9 @@
 //! with the parser that hyper uses, runs them concurrently and writes their answers in order. A
 //! connection that receives anything else is handed over to hyper.
 
+use std::time::Duration;
+
+use async_std::task;
 use bytes::{Buf, Bytes, BytesMut};
 use fleet::site::ClientLimits;
 use futures_util::future::{self, BoxFuture, Either};
@@ -69,6 +72,7 @@
     // Whether further requests of the connection are served.
     let mut open = true;
     let mut unsupported = false;
+    let mut written: usize = 0;
     loop {
         while open && !unsupported && answers.len() < MAX_PIPELINED {
             match parse_head(&buffer, limits.max_header_bytes) {
@@ -90,13 +94,13 @@
             }
         }
         let reads = open && !unsupported && answers.len() < MAX_PIPELINED;
+        let answers_left = answers.len();
         let event = {
             let next = std::pin::pin!(next_answer(&mut answers));
             let read = std::pin::pin!(read_more(&mut reader, &mut buffer, reads));
             let disconnected = std::pin::pin!(stream.disconnected());
-            let stopping = std::pin::pin!(phase.wait_for(|phase| *phase == ServerPhase::Stopping));
-            let idle = std::pin::pin!(tokio::time::sleep(limits.idle_timeout));
-            let ends = future::select(disconnected, future::select(stopping, idle));
+            let idle = std::pin::pin!(idle_end(phase, limits.idle_timeout, answers_left == 0));
+            let ends = future::select(disconnected, idle);
             match future::select(next, future::select(read, ends)).await {
                 Either::Left((answer, _)) => PipelineEvent::Answer(answer),
                 Either::Right((Either::Left((read, _)), _)) => PipelineEvent::Read(read),
@@ -116,6 +120,12 @@
                 if write_answer(&mut writer, answer, last).await.is_err() {
                     return PipelineEnd::Disconnected;
                 }
+                // A client whose requests are all answered at once would keep the thread for as long
+                // as it sends.
+                written += 1;
+                if written.is_multiple_of(MAX_PIPELINED) {
+                    task::yield_now().await;
+                }
             }
             PipelineEvent::Read(Ok(0)) | PipelineEvent::Disconnected if answers.is_empty() => {
                 return PipelineEnd::Complete;
@@ -124,8 +134,7 @@
                 return PipelineEnd::Disconnected;
             }
             PipelineEvent::Read(Ok(_)) => {}
-            PipelineEvent::Idle if answers.is_empty() => return PipelineEnd::Complete,
-            PipelineEvent::Idle => open = false,
+            PipelineEvent::Idle => return PipelineEnd::Complete,
         }
     }
 }
@@ -138,7 +147,7 @@
     Read(std::io::Result<usize>),
     /// The client closed its side of the connection.
     Disconnected,
-    /// The idle timeout has passed, or the server is stopping.
+    /// No request is unanswered, and the idle timeout has passed or the server is stopping.
     Idle,
 }
 
@@ -152,6 +161,17 @@
     }
 }
 
+/// Waits until an idle connection ends: the idle timeout has passed or the server is stopping. Waits
+/// forever unless `is_idle` is set.
+async fn idle_end(phase: &mut watch::Receiver<ServerPhase>, idle_timeout: Duration, is_idle: bool) {
+    if !is_idle {
+        return future::pending().await;
+    }
+    let stopping = std::pin::pin!(phase.wait_for(|phase| *phase == ServerPhase::Stopping));
+    let timeout = std::pin::pin!(tokio::time::sleep(idle_timeout));
+    let _ = future::select(stopping, timeout).await;
+}
+
 /// Reads bytes into the buffer; waits forever unless `reads` is set.
 async fn read_more(
     stream: &mut ClientStream,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -24,6 +24,9 @@
 /// is sent while the backend server closes it.
 const IDLE_TIMEOUT_SHARE: f64 = 0.9;
 
+/// Longest idle timeout that a backend server can announce.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// Idle time up to which a connection is assumed to be open for a request that must not run twice.
 pub const UNSAFE_IDLE_LIMIT: Duration = Duration::from_secs(4);
 
@@ -85,7 +88,7 @@
 
     /// Sets the idle timeout from the one that the backend server announces.
     pub fn set_idle_timeout(&mut self, announced: Duration) {
-        self.idle_timeout = announced.mul_f64(IDLE_TIMEOUT_SHARE);
+        self.idle_timeout = announced.min(MAX_IDLE_TIMEOUT).mul_f64(IDLE_TIMEOUT_SHARE);
     }
 }
 
@@ -135,7 +138,7 @@
     pub fn close_idle(&self, now: Instant) {
         self.lock().retain(|_, idle| {
             idle.retain(|connection| {
-                now < connection.idle_since + connection.idle_timeout
+                now.saturating_duration_since(connection.idle_since) < connection.idle_timeout
                     && !connection.http.sender.is_closed()
             });
             !idle.is_empty()
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -15,7 +15,7 @@
 use http::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,6 +26,7 @@
 
 use crate::answer::{AnswerBody, HostAnswer};
 use crate::attempt;
+use crate::buffer::{BufferBudget, BufferError};
 use crate::forwarder::{ForwardEnd, RequestForwarder};
 use crate::pipeline::{self, PipelineEnd};
 use crate::request::{self, ForwardRequest};
@@ -53,6 +54,9 @@
 /// hosts may have a newer one.
 const UNROUTABLE_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Retry-after time of a request whose body there is no room for.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// Smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -95,7 +99,7 @@
             let accepted = std::pin::pin!(listener.accept());
             let idle_check = std::pin::pin!(idle_checks.tick());
             match future::select(future::select(stopping, accepted), idle_check).await {
-                Either::Left((Either::Left(_), _)) => return,
+                Either::Left((Either::Left(_), _)) => break,
                 Either::Left((Either::Right((Ok((socket, peer)), _)), _)) => {
                     task::spawn(Arc::clone(&self).serve_connection(socket, peer));
                 }
@@ -109,6 +113,10 @@
                 Either::Right(_) => self.forwarder.sender().pool.close_idle(Instant::now()),
             }
         }
+        // Closing the listener resets the connections that the kernel has accepted.
+        while let Some(Ok((socket, peer))) = listener.accept().now_or_never() {
+            task::spawn(Arc::clone(&self).serve_connection(socket, peer));
+        }
     }
 
     /// Shuts down gracefully: closes each connection after its next answer, then also the
@@ -296,7 +304,9 @@
         let deadline = request::deadline(names, &headers, route, now);
         let object = request::object_digest(names, &headers, route);
         let body = match body {
-            Some(body) => read_body(body, table.site.limits.max_body_bytes).await?,
+            Some(body) => {
+                read_body(&sender.buffers, body, table.site.limits.max_body_bytes).await?
+            }
             None => Bytes::new(),
         };
         request::strip_hop_by_hop_headers(&mut headers);
@@ -325,13 +335,20 @@
     Stopping,
 }
 
-async fn read_body(body: Incoming, max_bytes: u64) -> Result<Bytes, HostAnswer> {
+async fn read_body(
+    buffers: &BufferBudget,
+    body: Incoming,
+    max_bytes: u64,
+) -> Result<Bytes, HostAnswer> {
     let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(HostAnswer::TooLarge),
-        Err(_) => Err(HostAnswer::Malformed("the body was cut")),
-    }
+    buffers.collect(body, max_bytes).await.map_err(|e| match e {
+        BufferError::TooLarge => HostAnswer::TooLarge,
+        BufferError::NoRoom => HostAnswer::NotRun {
+            cause: e.to_string(),
+            retry_after: NO_ROOM_RETRY_AFTER,
+        },
+        BufferError::Truncated(_) => HostAnswer::Malformed("the body was cut"),
+    })
 }
 
 /// Waits until the server is [`ServerPhase::Stopping`].
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -25,6 +25,8 @@
     /// Answer header with the running requests, queued requests and slots of the backend server,
     /// separated by commas.
     pub load: HeaderName,
+    /// Answer header with the value 1 if the backend server is leaving.
+    pub leaving: HeaderName,
 }
 
 /// Settings of an entry host.
@@ -38,6 +40,8 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Names of headers.
     pub headers: HeaderNames,
+    /// Bytes of memory that the process may use.
+    pub memory_limit: usize,
     /// Time limit of a graceful shutdown.
     pub shutdown_timeout: Duration,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -257,18 +257,18 @@
     }
 
     /// Chooses the service of a request by the weights in the traffic split of its route. Returns
-    /// `None` if the split has several services and no positive weight.
+    /// `None` if no service has a positive weight.
     ///
     /// The choice is a smooth weighted round-robin, so that even a few consecutive requests are
     /// split by the weights.
     pub fn choose_service<'a>(&self, route: &'a RouteSpec) -> Option<&'a str> {
         let total: f64 = route.split.iter().map(|part| f64::from(part.weight)).sum();
-        if let [only] = route.split.as_slice() {
-            return Some(&only.service);
-        }
         if total <= 0.0 {
             return None;
         }
+        if let [only] = route.split.as_slice() {
+            return Some(&only.service);
+        }
         let mut split_credits = lock(&self.split_credits);
         let credits = split_credits
             .entry(route.name.clone())
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -14,12 +14,18 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
+use crate::metered::{MeteredStream, ReadAllowance};
+
 /// Timeout for an open connection to become ready for its next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
 /// Maximum size of the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Bytes that may be read until the head of an answer is complete: informational heads before it, and
+/// what the HTTP library reads ahead of the body.
+const HEAD_ALLOWANCE_BYTES: usize = 4 * MAX_HEAD_BYTES;
+
 /// A connection that carries one request at a time.
 ///
 /// Dropping it closes the socket.
@@ -28,6 +34,7 @@
     /// Sender of requests on the connection.
     pub sender: http1::SendRequest<B>,
     socket: socket2::Socket,
+    allowance: ReadAllowance,
     _closer: oneshot::Sender<Infallible>,
 }
 
@@ -53,6 +60,8 @@
         E: From<io::Error> + From<hyper::Error>,
     {
         let socket = socket2::SockRef::from(&stream).try_clone()?;
+        let allowance = ReadAllowance::unlimited();
+        let stream = MeteredStream::new(stream, allowance.clone());
         let (sender, driver) = builder
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -65,10 +74,31 @@
         Ok(Self {
             sender,
             socket,
+            allowance,
             _closer: closer,
         })
     }
 
+    /// Limits what is read until the head of the next answer is complete. Must be called before a
+    /// request is sent.
+    pub fn begin_head(&self) {
+        self.allowance.set(HEAD_ALLOWANCE_BYTES);
+    }
+
+    /// Limits what is read of the rest of an answer whose body has at most `max_bytes` bytes.
+    ///
+    /// The limit leaves room for the framing of a body in chunks.
+    pub fn begin_body(&self, max_bytes: usize) {
+        let framed = max_bytes.saturating_mul(2);
+        self.allowance
+            .set(framed.saturating_add(HEAD_ALLOWANCE_BYTES));
+    }
+
+    /// Returns whether the peer sent more than is allowed, upon which the connection fails.
+    pub fn is_exhausted(&self) -> bool {
+        self.allowance.is_exhausted()
+    }
+
     /// Waits a short time until the connection can send its next request.
     ///
     /// Returns `false` if the connection is closed, does not become ready in time, or has received
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,10 +12,12 @@
 //! | [`listen`] | limits on incoming gRPC connections |
 //! | [`token`] | the access token of a call, and interceptors that add and check it |
 //! | [`http`] | HTTP/1 connections to backend servers |
+//! | [`metered`] | a stream with limited reads |
 
 pub mod dial;
 pub mod http;
 pub mod listen;
+pub mod metered;
 pub mod token;
 
 /// Generated messages, clients and servers.
