perf(director): long polls are answered in batches, with the differences of the list of hosts

Cause, from the issue's profile and the code: after each call a replica listed and hashed all entry hosts, all cold servers and all held polls, and each answer carried both lists: cost per call grew with hosts times servers, quadratic in the fleet.

Change: polls wait in a queue that makes at most one batch in 50 ms; the lists of hosts and their digest are built when a status changes or a silence ends, not per call; an answer carries the differences to the list that the host has (32 lists are kept), and the cold servers only if they differ; hosts alone don't wake polls, cold servers do when a cold period begins or grows by over half a second. The directory answers by zone. Digests no longer use the hash of the standard library. An entry host determines the owner of a cold server when it needs it, instead of for all servers at each change of the list (295 x 1,620 hashes).

Ruled out: sending no loads (their bytes remain: 1 a server and answer).

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -31,8 +31,20 @@
     pub(crate) specs: HashMap<ids::ServiceName, ServiceSpec>,
     pub(crate) evacuated: Vec<ids::ZoneName>,
     notices: NoticeTable,
-    /// Names and zones of the entry hosts that are ready.
-    pub(crate) hosts: Vec<(String, ids::ZoneName)>,
+    /// Entry hosts that are ready.
+    hosts: Vec<RankedHost>,
+    /// Version of the list of entry hosts.
+    hosts_version: u64,
+}
+
+/// An entry host in the choice of the owner of a cold backend server.
+#[derive(Debug)]
+struct RankedHost {
+    /// Hash of the name.
+    seed: u64,
+    zone: ids::ZoneName,
+    /// Whether it is this host.
+    is_own: bool,
 }
 
 impl LoadBalancer {
@@ -48,6 +60,7 @@
             evacuated: Vec::new(),
             notices: NoticeTable::default(),
             hosts: Vec::new(),
+            hosts_version: 0,
         }
     }
 
@@ -101,11 +114,13 @@
 
     /// Sets the names and zones of the entry hosts that are ready.
     pub fn set_hosts(&mut self, hosts: Vec<(String, ids::ZoneName)>) {
-        self.hosts = hosts;
-        let keys: Vec<_> = self.servers.keys().collect();
-        for key in keys {
-            self.update_cold_owner(key);
-        }
+        let hosts = hosts.into_iter().map(|(name, zone)| RankedHost {
+            seed: xxh3::xxh3_64(name.as_bytes()),
+            is_own: name == self.settings.host,
+            zone,
+        });
+        self.hosts = hosts.collect();
+        self.hosts_version += 1;
     }
 
     /// Returns the number of entry hosts that are ready. It is at least 1, as this host may not be
@@ -255,6 +270,7 @@
                 && server.record.service == record.service;
             if same_incarnation {
                 server.record = record;
+                server.cold_owner.set(None);
                 return;
             }
         }
@@ -267,7 +283,6 @@
         let key = self.servers.insert(server);
         self.keys.insert(id, key);
         self.group_mut(&service).servers.push(key);
-        self.update_cold_owner(key);
     }
 
     fn remove_server(&mut self, id: &str) {
@@ -294,11 +309,15 @@
         }
     }
 
-    /// Updates whether this host is the only one that sends requests to a backend server while the
-    /// server is cold: the first by rendezvous hashing among the hosts in the server's zone, else
-    /// in its region, else among all hosts.
-    fn update_cold_owner(&mut self, key: ServerKey) {
-        let server = &self.servers[key];
+    /// Returns whether this host is the only one that sends requests to a backend server while the
+    /// server is cold: the first by rendezvous hashing among the hosts in the server's zone, else in its
+    /// region, else among all hosts. The result is kept until the list of hosts changes.
+    pub(crate) fn is_cold_owner(&self, server: &TrackedServer) -> bool {
+        if let Some((version, owns)) = server.cold_owner.get() {
+            if version == self.hosts_version {
+                return owns;
+            }
+        }
         let same_zone = |zone: &str| zone == server.record.zone;
         let same_region = |zone: &str| self.settings.region(zone) == server.region;
         let distance = |zone: &str| match (same_zone(zone), same_region(zone)) {
@@ -306,14 +325,14 @@
             (false, true) => 1,
             (false, false) => 2,
         };
-        let rank = |host: &(String, ids::ZoneName)| {
-            let seed = xxh3::xxh3_64(host.0.as_bytes());
-            let hash = xxh3::xxh3_64_with_seed(server.record.id.as_bytes(), seed);
-            (distance(&host.1), hash)
+        let rank = |host: &RankedHost| {
+            let hash = xxh3::xxh3_64_with_seed(server.record.id.as_bytes(), host.seed);
+            (distance(&host.zone), hash)
         };
         let owner = self.hosts.iter().min_by_key(|host| rank(host));
-        let owns = owner.is_some_and(|host| host.0 == self.settings.host);
-        self.servers[key].cold_owner = owns;
+        let owns = owner.is_some_and(|host| host.is_own);
+        server.cold_owner.set(Some((self.hosts_version, owns)));
+        owns
     }
 
     /// Returns the share of the requests for a service that leaves this region, from 0 to 1.
--- a/crates/balance/src/candidate.rs
+++ b/crates/balance/src/candidate.rs
@@ -123,7 +123,7 @@
             let server = &self.servers[*key];
             let home = query.home_regions.is_empty() || query.home_regions.contains(&server.region);
             let probe = !server.is_recovering() || server.in_flight() == 0;
-            let cold = !server.is_cold(now) || server.cold_owner;
+            let cold = !server.is_cold(now) || self.is_cold_owner(server);
             home && probe
                 && cold
                 && server.accepts_requests()
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -1,5 +1,6 @@
 //! Load, health and cache state of one backend server.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -109,8 +110,9 @@
     pub region: ids::RegionName,
     /// Whether the server's zone is evacuated.
     pub evacuated: bool,
-    /// Whether this host is the only one that sends requests to the server while it is cold.
-    pub cold_owner: bool,
+    /// Whether this host is the only one that sends requests to the server while it is cold, and the
+    /// version of the list of entry hosts for which that was determined.
+    pub(crate) cold_owner: Cell<Option<(u64, bool)>>,
     notices: NoticeState,
     /// Whether the server asked for a rest and hasn't run a request since.
     rested: bool,
@@ -148,7 +150,7 @@
             record,
             region,
             evacuated: false,
-            cold_owner: false,
+            cold_owner: Cell::new(None),
             notices: NoticeState::default(),
             rested: false,
             in_flight: 0,
--- a/crates/director/src/call.rs
+++ b/crates/director/src/call.rs
@@ -1,5 +1,7 @@
 //! Calls to the core, and the actions that it returns to its task.
 
+use std::sync::Arc;
+
 use fleet::command::FleetCommand;
 use fleet::ids;
 use fleet::server::ServerRecord;
@@ -10,9 +12,8 @@
 use store::writer::DiskReport;
 use tokio::sync::oneshot;
 
-use crate::message::{
-    FollowReply, FollowRequest, GossipReport, HostStatus, ProposeOutcome, ReadOutcome,
-};
+use crate::hosts::HostList;
+use crate::message::{FollowReply, FollowRequest, GossipReport, ProposeOutcome, ReadOutcome};
 
 /// A call to the core. Calls with a reply channel are answered through it.
 #[derive(Debug)]
@@ -58,7 +59,7 @@
         reply: oneshot::Sender<FollowReply>,
     },
     /// Returns the entry hosts that are alive.
-    Hosts(oneshot::Sender<Vec<HostStatus>>),
+    Hosts(oneshot::Sender<Arc<HostList>>),
     /// Returns the state for a dump.
     Dump(oneshot::Sender<DirectorDump>),
     /// Replaces the seeds.
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -22,6 +22,8 @@
 
 use crate::address;
 use crate::call::{AnnounceDecision, CoreAction, CoreCall, DirectorDump};
+use crate::follow::FollowQueue;
+use crate::hosts::HostLists;
 use crate::liveness::{self, LivenessTable};
 use crate::loads::LoadTable;
 use crate::message::{FollowReply, FollowRequest, ProposeOutcome, ReadOutcome};
@@ -70,14 +72,6 @@
     Read(oneshot::Sender<ReadOutcome>),
 }
 
-/// A follow request that is held until the state changes (long poll).
-struct PendingFollow {
-    /// Time at which the request is answered in any case.
-    until: Instant,
-    request: FollowRequest,
-    reply: oneshot::Sender<FollowReply>,
-}
-
 /// Consensus, replicated state and observations of one control replica.
 pub struct DirectorCore {
     settings: DirectorSettings,
@@ -94,7 +88,12 @@
     /// Outcomes of the latest applied commands, by log index.
     outcomes: BTreeMap<LogIndex, CommandOutcome>,
     pending_replies: HashMap<RequestId, PendingReply>,
-    pending_follows: Vec<PendingFollow>,
+    follows: FollowQueue,
+    /// Revision at the latest check for changes that follow requests wait for.
+    checked_revision: ids::Revision,
+    host_lists: HostLists,
+    /// Start of this replica.
+    started_at: Instant,
     last_request: RequestId,
     snapshot_index: LogIndex,
     applied_term: Term,
@@ -147,7 +146,10 @@
             announced_at: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             pending_replies: HashMap::new(),
-            pending_follows: Vec::new(),
+            follows: FollowQueue::new(now),
+            checked_revision: 0,
+            host_lists: HostLists::default(),
+            started_at: now,
             last_request: 0,
             snapshot_index,
             applied_term,
@@ -161,13 +163,13 @@
 
     /// Returns the time at which [`DirectorCore::tick`] must be called next.
     pub fn deadline(&self) -> Instant {
-        let follow = self.pending_follows.iter().map(|follow| follow.until).min();
         let deadline = self
             .machine
             .deadline()
             .min(self.next_report)
             .min(self.next_expiry_check);
-        follow.map_or(deadline, |until| until.min(deadline))
+        let batch = self.follows.deadline();
+        batch.map_or(deadline, |batch| batch.min(deadline))
     }
 
     /// Handles all timers that have expired.
@@ -220,7 +222,8 @@
             }
             CoreCall::Follow { request, reply } => self.hold_follow(now, *request, reply),
             CoreCall::Hosts(reply) => {
-                let _ = reply.send(self.liveness.hosts(now));
+                self.refresh_hosts(now);
+                let _ = reply.send(self.host_lists.current().clone());
             }
             CoreCall::Dump(reply) => {
                 let _ = reply.send(self.dump(now));
@@ -469,7 +472,8 @@
         let shares = std::mem::take(&mut request.shares);
         let host = &request.host.name;
         self.shares.record_host(now, host, &request.region, shares);
-        if request.revision == Some(self.changes.latest_revision()) {
+        let readings_fit = request.revision == Some(self.changes.latest_revision());
+        if readings_fit && !request.loads.is_empty() {
             let ids = server_ids(&self.state);
             self.loads.record_host(now, &ids, &request.loads);
         }
@@ -483,52 +487,58 @@
             // The other replicas get the status of a new or stopping host at once.
             self.next_report = now;
         }
-        let until = now + request.max_wait;
-        self.pending_follows.push(PendingFollow {
-            until,
-            request,
-            reply,
-        });
+        if request.revision != Some(self.changes.latest_revision()) {
+            self.follows.mark_changed();
+        }
+        self.follows.push(now, request, reply);
+    }
+
+    /// Updates the list of entry hosts that are alive.
+    fn refresh_hosts(&mut self, now: Instant) {
+        if let Some(hosts) = self.liveness.take_changed_hosts(now) {
+            self.host_lists.set(hosts);
+        }
     }
 
-    /// Answers the follow requests that have an outdated revision or digest, and those whose time
-    /// is up.
+    /// Answers the follow requests that are outdated or due, in batches. A change of the entry hosts
+    /// alone doesn't make a request outdated: it goes out with the next answer.
     fn answer_follows(&mut self, now: Instant) {
-        if self.pending_follows.is_empty() {
+        let latest = self.changes.latest_revision();
+        if latest != self.checked_revision || self.liveness.take_became_cold() {
+            self.checked_revision = latest;
+            self.follows.mark_changed();
+        }
+        if self
+            .follows
+            .deadline()
+            .is_none_or(|deadline| now < deadline)
+        {
             return;
         }
-        let hosts = self.liveness.hosts(now);
-        let hosts_digest = liveness::hosts_digest(&hosts);
         let cold = self.liveness.cold(now);
-        let cold_digest = liveness::cold_digest(&cold);
-        let latest = self.changes.latest_revision();
-        let waits = |follow: &PendingFollow| {
-            let request = &follow.request;
-            let current = request.revision == Some(latest)
-                && request.cold_digest == cold_digest
-                && request.hosts_digest == hosts_digest;
-            current && now < follow.until
-        };
-        let (waiting, due): (Vec<_>, Vec<_>) = self.pending_follows.drain(..).partition(waits);
-        self.pending_follows = waiting;
-        if due.is_empty() {
+        let cold_digest = liveness::cold_digest(now, self.started_at, &cold);
+        let batch = self.follows.take_batch(now, |request| {
+            request.revision != Some(latest) || request.cold_digest != cold_digest
+        });
+        if batch.is_empty() {
             return;
         }
+        self.refresh_hosts(now);
         let shares = self.shares.means(now);
         let loads = self.loads.vector(now, latest, &server_ids(&self.state));
         let replicas = self.replicas();
-        for follow in due {
+        let confirmed_ago = self
+            .confirmed_at
+            .map(|confirmed_at| now.saturating_duration_since(confirmed_at));
+        for follow in batch {
             let request = follow.request;
-            let same_hosts = request.hosts_digest == hosts_digest;
             let reply = FollowReply {
                 update: self.update_since(request.revision),
-                confirmed_ago: self
-                    .confirmed_at
-                    .map(|confirmed_at| now.saturating_duration_since(confirmed_at)),
-                cold: cold.clone(),
+                confirmed_ago,
+                cold: (request.cold_digest != cold_digest).then(|| cold.clone()),
                 cold_digest,
-                hosts: (!same_hosts).then(|| hosts.clone()),
-                hosts_digest,
+                hosts: self.host_lists.update_since(request.hosts_digest),
+                hosts_digest: self.host_lists.current().digest(),
                 shares: shares.get(&request.region).cloned().unwrap_or_default(),
                 loads: loads.clone(),
                 replicas: replicas.clone(),
@@ -595,14 +605,15 @@
         self.propose(now, &FleetCommand::Expire(silent), reply);
     }
 
-    fn dump(&self, now: Instant) -> DirectorDump {
-        let hosts = self.liveness.hosts(now).into_iter();
+    fn dump(&mut self, now: Instant) -> DirectorDump {
+        self.refresh_hosts(now);
+        let hosts = self.host_lists.current().hosts().keys();
         DirectorDump {
             quorum: self.machine.report(now),
             revision: self.state.revision(),
             version: self.state.site().map_or(0, |site| site.version),
             servers: self.state.servers().count(),
-            hosts: hosts.map(|host| host.name).collect(),
+            hosts: hosts.cloned().collect(),
             evacuated: self.state.evacuated().cloned().collect(),
             confirmed_ago_ms: self
                 .confirmed_at
--- a/crates/director/src/directory.rs
+++ b/crates/director/src/directory.rs
@@ -6,7 +6,7 @@
 
 use fleet::ids;
 
-use crate::message::HostStatus;
+use crate::hosts::HostList;
 
 /// Time for which a client may cache an answer. It is short because a stopping host is removed from
 /// the answers before it refuses clients.
@@ -18,23 +18,22 @@
 /// Returns the addresses of the ready hosts in the client's zone. Where these are fewer than
 /// two, the hosts of the region are added, and then those of other regions.
 pub fn nearest(
-    hosts: &[HostStatus],
+    hosts: &HostList,
     zone: &str,
     region: &str,
     regions: &BTreeMap<ids::ZoneName, ids::RegionName>,
 ) -> Vec<SocketAddr> {
-    let ready = hosts.iter().filter(|host| host.ready);
-    let distance = |host: &HostStatus| {
-        let own = regions.get(&host.zone).map_or("", String::as_str);
-        match (host.zone == zone, own == region) {
+    let distance = |host_zone: &str| {
+        let own = regions.get(host_zone).map_or("", String::as_str);
+        match (host_zone == zone, own == region) {
             (true, _) => 0,
             (false, true) => 1,
             (false, false) => 2,
         }
     };
     let mut by_distance: [Vec<SocketAddr>; 3] = Default::default();
-    for host in ready {
-        by_distance[distance(host)].push(host.address);
+    for (host_zone, addresses) in hosts.ready() {
+        by_distance[distance(host_zone)].extend(addresses);
     }
     let mut chosen = Vec::new();
     for addresses in by_distance {
--- a/crates/director/src/handle.rs
+++ b/crates/director/src/handle.rs
@@ -1,6 +1,7 @@
 //! Handle through which the process's own listeners call the replica.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_std::{future, task};
@@ -12,8 +13,9 @@
 
 use crate::address;
 use crate::call::{AnnounceDecision, CoreCall, DirectorDump};
+use crate::hosts::HostList;
 use crate::mesh::MeshLinks;
-use crate::message::{HostStatus, MeshReply, MeshRequest, ProposeOutcome, ReadOutcome};
+use crate::message::{MeshReply, MeshRequest, ProposeOutcome, ReadOutcome};
 
 /// Maximum number of calls that wait for the core.
 const MAX_QUEUED_CALLS: usize = 1_024;
@@ -199,7 +201,7 @@
     }
 
     /// Returns the entry hosts that are alive.
-    pub async fn hosts(&self) -> Vec<HostStatus> {
+    pub async fn hosts(&self) -> Arc<HostList> {
         self.core.ask(CoreCall::Hosts).await.unwrap_or_default()
     }
 
--- a/crates/director/src/liveness.rs
+++ b/crates/director/src/liveness.rs
@@ -1,17 +1,21 @@
 //! Failure detection: the times at which backend servers and entry hosts last called a replica.
 
-use std::collections::hash_map::DefaultHasher;
 use std::collections::BTreeMap;
-use std::hash::{Hash, Hasher};
 use std::time::{Duration, Instant};
 
 use fleet::ids;
+use xxhash_rust::xxh3::Xxh3;
 
+use crate::hosts::HostsByName;
 use crate::message::{GossipReport, HostLiveness, HostStatus, ServerLiveness};
 
 /// Silence after which an entry host no longer counts as alive: three missed calls.
 pub const HOST_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Resolution of the ends of cold periods in the digest of the cold backend servers. Announcements of
+/// one period give ends that differ by their delays.
+const COLD_RESOLUTION: Duration = Duration::from_millis(500);
+
 /// Time added to the announced cold period, for the delay of the announcement.
 const COLD_MARGIN: Duration = Duration::from_millis(200);
 
@@ -24,6 +28,15 @@
     unreported: bool,
 }
 
+impl ServerEntry {
+    /// Extends the cold period. Returns whether its end moves by more than the delays of announcements.
+    fn extend_cold(&mut self, cold_until: Instant) -> bool {
+        let extended = cold_until > self.cold_until + COLD_RESOLUTION;
+        self.cold_until = self.cold_until.max(cold_until);
+        extended
+    }
+}
+
 #[derive(Debug, Clone)]
 struct HostEntry {
     status: HostStatus,
@@ -37,6 +50,11 @@
 pub struct LivenessTable {
     servers: BTreeMap<ids::ServerId, ServerEntry>,
     hosts: BTreeMap<String, HostEntry>,
+    /// Time until which the list of hosts that are alive can't change by silence; `None` if it has
+    /// changed since it was last taken.
+    hosts_valid_until: Option<Instant>,
+    /// Whether a backend server became cold, or will remain so for longer, since this was last taken.
+    became_cold: bool,
 }
 
 impl LivenessTable {
@@ -66,6 +84,7 @@
             cold => seen_at + cold + COLD_MARGIN,
         };
         let Some(entry) = self.servers.get_mut(id) else {
+            self.became_cold |= cold_until > now;
             let entry = ServerEntry {
                 born,
                 seen_at,
@@ -83,7 +102,7 @@
         }
         entry.born = born;
         entry.seen_at = entry.seen_at.max(seen_at);
-        entry.cold_until = entry.cold_until.max(cold_until);
+        self.became_cold |= entry.extend_cold(cold_until);
         entry.unreported |= unreported;
     }
 
@@ -93,7 +112,7 @@
         let known = self.servers.get_mut(id).filter(|entry| entry.born == born);
         match known {
             Some(entry) if !cold.is_zero() => {
-                entry.cold_until = entry.cold_until.max(now + cold + COLD_MARGIN);
+                self.became_cold |= entry.extend_cold(now + cold + COLD_MARGIN);
             }
             Some(_) => {}
             None => self.merge_server(now, id, born, now, cold, false),
@@ -112,6 +131,9 @@
             unreported: true,
         };
         self.hosts.insert(status.name.clone(), entry);
+        if changed {
+            self.hosts_valid_until = None;
+        }
         changed
     }
 
@@ -127,6 +149,12 @@
             if known.is_some_and(|entry| entry.seen_at >= seen_at) {
                 continue;
             }
+            let changed = known.is_none_or(|entry| {
+                entry.status != host.status || now >= entry.seen_at + HOST_TIMEOUT
+            });
+            if changed {
+                self.hosts_valid_until = None;
+            }
             let entry = HostEntry {
                 status: host.status,
                 seen_at,
@@ -179,13 +207,27 @@
             .collect()
     }
 
-    /// Returns the entry hosts that are alive.
-    pub fn hosts(&self, now: Instant) -> Vec<HostStatus> {
+    /// Returns the entry hosts that are alive, or `None` if they are the same as at the last call.
+    pub fn take_changed_hosts(&mut self, now: Instant) -> Option<HostsByName> {
+        if self.hosts_valid_until.is_some_and(|until| now < until) {
+            return None;
+        }
         let alive = self
             .hosts
             .values()
             .filter(|entry| now < entry.seen_at + HOST_TIMEOUT);
-        alive.map(|entry| entry.status.clone()).collect()
+        let first_silent = alive
+            .clone()
+            .map(|entry| entry.seen_at + HOST_TIMEOUT)
+            .min();
+        self.hosts_valid_until = Some(first_silent.unwrap_or(now + HOST_TIMEOUT));
+        let alive = alive.map(|entry| (entry.status.name.clone(), entry.status.clone()));
+        Some(alive.collect())
+    }
+
+    /// Returns whether a backend server became cold, or will remain so for longer, since the last call.
+    pub fn take_became_cold(&mut self) -> bool {
+        std::mem::take(&mut self.became_cold)
     }
 
     /// Evicts backend servers and entry hosts that have been silent for `limit`.
@@ -195,23 +237,20 @@
     }
 }
 
-/// Returns the digest of a list of entry hosts. It is never 0, which stands for no known list.
-pub fn hosts_digest(hosts: &[HostStatus]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    for host in hosts {
-        (&host.name, host.address, &host.zone, host.ready).hash(&mut hasher);
-    }
-    hasher.finish() | 1
-}
-
-/// Returns the digest of the ids of cold backend servers; 0 for an empty list.
-pub fn cold_digest(cold: &[(ids::ServerId, Duration)]) -> u64 {
+/// Returns the digest of a list of cold backend servers that is taken `now`; 0 for an empty list.
+///
+/// `origin` is any time that stays the same; the digest covers the end of each cold period counted from
+/// it.
+pub fn cold_digest(now: Instant, origin: Instant, cold: &[(ids::ServerId, Duration)]) -> u64 {
     if cold.is_empty() {
         return 0;
     }
-    let mut hasher = DefaultHasher::new();
-    for (id, _) in cold {
-        id.hash(&mut hasher);
+    let mut hasher = Xxh3::new();
+    for (id, period) in cold {
+        let end = (now + *period).saturating_duration_since(origin);
+        let steps = end.as_millis() / COLD_RESOLUTION.as_millis();
+        hasher.update(id.as_bytes());
+        hasher.update(&steps.to_le_bytes());
     }
-    hasher.finish() | 1
+    hasher.digest() | 1
 }
--- a/crates/director/src/message.rs
+++ b/crates/director/src/message.rs
@@ -76,6 +76,22 @@
     pub ready: bool,
 }
 
+/// Update of a copy of the list of entry hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HostsUpdate {
+    /// The copy is current.
+    Current,
+    /// The hosts that are gone, and those that are new or changed.
+    Changes {
+        /// Names of the hosts that are gone.
+        gone: Vec<String>,
+        /// Status of the hosts that are new or changed.
+        changed: Vec<HostStatus>,
+    },
+    /// All hosts.
+    Whole(Vec<HostStatus>),
+}
+
 /// Share of a service's requests that an entry host sends to other regions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SpillShare {
@@ -194,12 +210,13 @@
     /// Time since the replica last confirmed that it has applied every committed entry; `None`
     /// where it hasn't since its start.
     pub confirmed_ago: Option<Duration>,
-    /// Cold backend servers, each with the time for which it remains cold.
-    pub cold: Vec<(ids::ServerId, Duration)>,
-    /// Digest of the ids in `cold`.
+    /// Cold backend servers, each with the time for which it remains cold; `None` where the caller's
+    /// list is the same.
+    pub cold: Option<Vec<(ids::ServerId, Duration)>>,
+    /// Digest of the replica's list of cold backend servers.
     pub cold_digest: u64,
-    /// Entry hosts that are alive; `None` where the caller's list is the same.
-    pub hosts: Option<Vec<HostStatus>>,
+    /// Update of the caller's list of the entry hosts that are alive.
+    pub hosts: HostsUpdate,
     /// Digest of the list of entry hosts that are alive.
     pub hosts_digest: u64,
     /// Shares of requests that leave the caller's region, as the mean over its entry hosts.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use balance::balancer::LoadBalancer;
 use balance::settings::BalanceSettings;
+use director::hosts::{self, HostsByName};
 use director::message::{FollowReply, LoadReading, SpillShare};
 use fleet::change::{FleetUpdate, FleetView};
 use fleet::ids;
@@ -32,7 +33,9 @@
 struct FollowedState {
     /// Revision of the routes and backend servers; `None` before the first reply.
     revision: Option<ids::Revision>,
-    /// Digest of the list of entry hosts.
+    /// Entry hosts that are alive, by name.
+    hosts: HostsByName,
+    /// Digest of the list of entry hosts; 0 while there is none.
     hosts_digest: u64,
     /// Digest of the cold backend servers.
     cold_digest: u64,
@@ -223,7 +226,7 @@
             }
         }
         let mut balancer = self.balancer();
-        for (id, period) in &reply.cold {
+        for (id, period) in reply.cold.iter().flatten() {
             balancer.set_cold(now, id, *period);
         }
         for mean in &reply.shares {
@@ -234,10 +237,17 @@
             balancer.set_shared_loads(now, reply.loads.means());
         }
         followed.cold_digest = reply.cold_digest;
-        if let Some(hosts) = reply.hosts {
-            let ready = hosts.into_iter().filter(|host| host.ready);
-            balancer.set_hosts(ready.map(|host| (host.name, host.zone)).collect());
-            followed.hosts_digest = reply.hosts_digest;
+        if reply.hosts.apply(&mut followed.hosts) {
+            let digest = hosts::digest(&followed.hosts);
+            // A list that differs from that of the replica is replaced as a whole by the next reply.
+            followed.hosts_digest = if digest == reply.hosts_digest {
+                digest
+            } else {
+                0
+            };
+            let ready = followed.hosts.values().filter(|host| host.ready);
+            let ready = ready.map(|host| (host.name.clone(), host.zone.clone()));
+            balancer.set_hosts(ready.collect());
         }
         let confirmed_at = reply.confirmed_ago.and_then(|ago| now.checked_sub(ago));
         followed.confirmed_at = followed.confirmed_at.max(confirmed_at);
