--- a/crates/store/src/segment.rs
+++ b/crates/store/src/segment.rs
@@ -79,8 +79,8 @@
     /// Removes the entries that a snapshot covers, and all others if the log doesn't agree with the
     /// snapshot.
     ///
-    /// The log agrees if it contains the snapshot's last entry, or if it starts with the entry
-    /// after it, as the file with the last entry may have been removed.
+    /// The log agrees if it contains the snapshot's last entry, or if it starts after it, as the files
+    /// with that entry and those that follow it may have been removed since by a later snapshot.
     pub fn apply_snapshot(&mut self, index: ids::LogIndex, term: ids::Term) {
         if index <= self.base_index {
             return;
@@ -88,7 +88,7 @@
         let starts_after_snapshot = self
             .entries
             .first()
-            .is_some_and(|entry| entry.index == index + 1);
+            .is_some_and(|entry| entry.index > index);
         let agrees = starts_after_snapshot
             || self
                 .entries
--- a/crates/store/tests/log_replay.rs
+++ b/crates/store/tests/log_replay.rs
@@ -25,6 +25,11 @@
 #[case::two_snapshots(vec![append(1), append(2), snapshot(1), append(3), snapshot(3), append(4)], 3, &[4])]
 #[case::snapshot_at_the_end_of_a_file(vec![append(1), append(2), snapshot(1), append(3), snapshot(2)], 2, &[3])]
 #[case::appended_after_such_a_snapshot(vec![append(1), append(2), snapshot(1), append(3), snapshot(2), append(4)], 2, &[3, 4])]
+#[case::snapshots_behind_the_log(
+    vec![append(1), append(2), append(3), snapshot(1), append(4), append(5), snapshot(2), append(6), snapshot(3), append(7)],
+    3,
+    &[4, 5, 6, 7]
+)]
 #[case::older_snapshot_ignored(vec![append(1), append(2), snapshot(2), snapshot(1)], 2, &[])]
 fn a_restart_recovers_what_was_written(
     #[case] writes: Vec<PersistWrite>,
