perf(gateway): entry hosts follow a control replica nearby

Cause: hosts began with a random seed and stayed with it, so two thirds of the long polls of the large fleet (855 a second, each with a byte for each of 1,620 servers) crossed regions. Ruled out: telling hosts where replicas are (a new field of the log; a measured distance also holds for replicas at new addresses).

--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -11,7 +11,9 @@
 use director::message::{FollowReply, FollowRequest, HostStatus, MeshReply, MeshRequest};
 use quorum::ids::ReplicaId;
 use rand::seq::SliceRandom;
+use rand::Rng;
 
+use crate::proximity;
 use crate::settings::GatewaySettings;
 use crate::state::GatewayState;
 
@@ -21,6 +23,13 @@
 /// Time limit for the answer to a call, in addition to the long polling wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time between two measurements of the round trips to the control replicas.
+const PROBE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Longest random addition to the probe interval, so that hosts that start together don't measure at
+/// the same time.
+const MAX_PROBE_JITTER: Duration = Duration::from_secs(5);
+
 /// Time between a failed call and the next one.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -34,6 +43,8 @@
     replicas: Vec<SocketAddr>,
     /// Whether the host gets confirmed states; a change is logged.
     confirmed: bool,
+    /// Time of the next measurement of the round trips to the replicas.
+    next_probe: Instant,
 }
 
 impl StateFollower {
@@ -48,6 +59,7 @@
             mesh: MeshLinks::new(0),
             replicas,
             confirmed: false,
+            next_probe: Instant::now(),
         }
     }
 
@@ -57,6 +69,8 @@
             if !self.follow_once(LONG_POLL_WAIT).await {
                 self.rotate_replicas();
                 task::sleep(RETRY_DELAY).await;
+            } else if self.next_probe <= Instant::now() {
+                self.prefer_nearby().await;
             }
         }
     }
@@ -144,6 +158,19 @@
         }
     }
 
+    /// Makes a nearby replica the current one, if there is one.
+    async fn prefer_nearby(&mut self) {
+        let jitter = rand::rng().random_range(Duration::ZERO..MAX_PROBE_JITTER);
+        self.next_probe = Instant::now() + PROBE_INTERVAL + jitter;
+        let current = self.replicas.first().copied();
+        let round_trips = proximity::measure(&self.replicas).await;
+        self.replicas = proximity::order(&round_trips, current, &mut rand::rng());
+        let replica = self.replicas.first().copied();
+        if let Some(replica) = replica.filter(|_| replica != current) {
+            log::info!(target: "follow", "following a nearby control replica; replica={replica}");
+        }
+    }
+
     /// Makes the next replica the current one. Adds the seeds first, as the settings may have
     /// changed.
     fn rotate_replicas(&mut self) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`settings`] | addresses, times, names of headers |
 //! | [`state`] | routes, backend servers and readiness of the host |
 //! | [`follower`] | state updates from the control replicas |
+//! | [`proximity`] | control replicas nearby |
 //! | [`server`] | client connections and graceful shutdown |
 //! | [`pipeline`] | client connections with pipelined requests |
 //! | [`stream`] | client socket that detects a disconnect |
@@ -28,6 +29,7 @@
 pub mod metrics;
 pub mod pipeline;
 pub mod pool;
+pub mod proximity;
 pub mod request;
 pub mod server;
 pub mod settings;
