--- a/crates/claims/src/claimant.rs
+++ b/crates/claims/src/claimant.rs
@@ -264,9 +264,16 @@
     /// Returns whether some keepers hold the key for another attempt, but fewer than a majority of
     /// any group.
     fn is_held_by_minority(&self) -> bool {
-        let held = self.held_records().count();
-        let by_majority = |group: &KeeperGroup| held >= self.majority(group);
-        held > 0 && !self.groups.iter().any(by_majority)
+        let holds = |keeper: &ids::HostName| {
+            let answer = self.answers.get(keeper);
+            matches!(answer, Some(ClaimAnswer::Held(_)))
+        };
+        let by_majority = |group: &KeeperGroup| {
+            let held = group.iter().filter(|keeper| holds(keeper));
+            held.count() >= self.majority(group)
+        };
+        let is_held = self.held_records().next().is_some();
+        is_held && !self.groups.iter().any(by_majority)
     }
 
     /// Returns whether the answer of any keeper is outstanding.
--- a/crates/claims/tests/claimant.rs
+++ b/crates/claims/tests/claimant.rs
@@ -82,3 +82,23 @@
         !matches!(attempt.outcome(), Some(ClaimOutcome::Granted))
     );
 }
+
+/// While the set of keepers changes, a key has two groups. One keeper of each holds it, which is a
+/// minority of both, so another keeper may still know how the run ended.
+#[test]
+fn keepers_of_different_groups_do_not_add_up_to_a_majority() {
+    let now = Instant::now();
+    let group = |names: [&str; 3]| names.map(Into::into).to_vec();
+    let groups = vec![group(["a", "b", "c"]), group(["d", "e", "f"])];
+    let deadline = now + Duration::from_secs(1);
+    let mut attempt = ClaimAttempt::new(attempt_id("e1"), "svc/k".into(), 1, groups, deadline);
+    attempt.start(now);
+    attempt.on_answer(now, "a".into(), held(ClaimState::Claimed));
+    attempt.on_answer(now, "d".into(), held(ClaimState::Claimed));
+    attempt.on_failure(now, "b".into());
+    assert_eq!(attempt.outcome(), None);
+    let answered = ClaimState::Answered(KeptAnswer::default());
+    attempt.on_answer(now, "c".into(), held(answered));
+    let outcome = attempt.outcome().map(<&str>::from);
+    assert_eq!(outcome, Some("answered-before"));
+}
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -27,26 +27,35 @@
     }
 }
 
+/// Network and runtime libraries, whose records are limited to warnings and errors.
+const LIBRARIES: [&str; 7] = [
+    "h2",
+    "hyper",
+    "tower",
+    "tide",
+    "async_io",
+    "async_std",
+    "polling",
+];
+
 /// Installs the logger of the process.
 ///
 /// The target of a record names the part of the program that logs it, such as `quorum` or `feed`.
-/// Records of the network and runtime libraries are limited to warnings and errors.
+/// Records of the network and runtime libraries are limited to warnings and errors, and to the level
+/// of the settings.
 ///
 /// # Errors
 ///
 /// Returns an error if the process has a logger already.
 pub fn start(settings: LogSettings) -> Result<(), LogError> {
     let json = settings.json;
-    fern::Dispatch::new()
-        .level(LevelFilter::Warn)
-        .level(settings.level)
-        .level_for("h2", LevelFilter::Warn)
-        .level_for("hyper", LevelFilter::Warn)
-        .level_for("tower", LevelFilter::Warn)
-        .level_for("tide", LevelFilter::Warn)
-        .level_for("async_io", LevelFilter::Warn)
-        .level_for("async_std", LevelFilter::Warn)
-        .level_for("polling", LevelFilter::Warn)
+    let dispatch = fern::Dispatch::new().level(settings.level);
+    let library_level = settings.level.min(LevelFilter::Warn);
+    LIBRARIES
+        .into_iter()
+        .fold(dispatch, |dispatch, library| {
+            dispatch.level_for(library, library_level)
+        })
         .format(move |out, message, record| {
             if json {
                 out.finish(format_args!("{}", json_line(&message.to_string(), record)));
