fix(director,gateway): a replica that was paused confirms its state anew

A machine can be suspended for seconds while its steady clock stands still. A leader that wakes then holds its lease for up to 750 ms more and confirms to entry hosts a state that others have gone past; a follower does so by messages of a former leader that were queued.

Change: the core's task compares its wake-up with the boot clock; over 500 ms late it forgets its confirmation, and for one lease nothing confirms. Entry hosts count the age of their last confirmation by the boot clock too, before they answer that a route doesn't exist. Ruled out: reads of the configuration (a heartbeat round starts after each) and proposals (a majority commits).

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`ManualClock`], whose time advances only when the test says so.
 
 mod manual;
+pub mod pause;
 mod source;
 
 pub use manual::ManualClock;
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -101,6 +101,8 @@
     leader_since: Option<Instant>,
     /// Last time at which this replica confirmed that it has applied every committed entry.
     confirmed_at: Option<Instant>,
+    /// Time before which nothing confirms the state, after a pause.
+    doubted_until: Instant,
     next_report: Instant,
     next_expiry_check: Instant,
     actions: Vec<CoreAction>,
@@ -155,6 +157,7 @@
             applied_term,
             leader_since: None,
             confirmed_at: None,
+            doubted_until: now,
             next_report: now + REPORT_INTERVAL,
             next_expiry_check: now + EXPIRY_CHECK_INTERVAL,
             actions: Vec::new(),
@@ -240,6 +243,21 @@
         self.machine.role() == Role::Failed
     }
 
+    /// Handles a pause of the process or the machine. What confirmed the state may have ended meanwhile:
+    /// the lease of this replica counts on if the steady clock stood still, and messages of a former
+    /// leader may still be queued. So nothing confirms the state until a lease of before is over.
+    pub fn handle_pause(&mut self, now: Instant) {
+        self.confirmed_at = None;
+        self.doubted_until = now + LEASE_DURATION;
+    }
+
+    /// Records that this replica has applied every committed entry.
+    fn confirm(&mut self, now: Instant) {
+        if now >= self.doubted_until {
+            self.confirmed_at = Some(now);
+        }
+    }
+
     /// Handles a consensus message. A follower that has applied everything that its leader had
     /// committed when it sent the message confirms its state.
     fn receive(&mut self, now: Instant, from: ReplicaId, message: Message) {
@@ -251,7 +269,7 @@
         self.handle_event(now, Event::Receive { from, message });
         let from_leader = self.machine.leader() == Some(from) && self.machine.term() == term;
         if from_leader && commit.is_some_and(|commit| self.machine.applied_index() >= commit) {
-            self.confirmed_at = Some(now);
+            self.confirm(now);
         }
     }
 
@@ -274,7 +292,7 @@
         }
         let applied_own_term = self.applied_term == self.machine.term();
         if applied_own_term && self.machine.has_lease(now) {
-            self.confirmed_at = Some(now);
+            self.confirm(now);
         }
         self.snapshot_if_due(now);
     }
--- a/crates/director/src/daemon.rs
+++ b/crates/director/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::{future, task};
+use clock::pause::{self, PauseDetector};
 use quick_error::quick_error;
 use store::error::StoreError;
 use store::replica::ReplicaStore;
@@ -152,8 +153,10 @@
     disk: DiskWriter,
     mesh: &MeshLinks,
 ) -> CoreExit {
+    let mut detector = PauseDetector::new(pause::boot_time());
     loop {
         let left = core.deadline().saturating_duration_since(Instant::now());
+        detector.begin_wait(pause::boot_time(), left);
         let call = match calls.try_recv() {
             Ok(call) => Some(call),
             Err(_) => match future::timeout(left, calls.recv()).await {
@@ -165,6 +168,10 @@
         // Expired timers are handled before the call, so that a process that was paused notices,
         // for example, the end of its lease before it answers.
         let now = Instant::now();
+        if let Some(delay) = detector.end_wait(pause::boot_time()) {
+            log::warn!(target: "state", "paused, confirming the state anew; delay_ms={}", delay.as_millis());
+            core.handle_pause(now);
+        }
         if core.deadline() <= now {
             core.tick(now);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use balance::balancer::LoadBalancer;
 use balance::settings::BalanceSettings;
+use clock::pause;
 use director::hosts::{self, HostsByName};
 use director::message::{FollowReply, LoadReading, SpillShare};
 use fleet::change::{FleetUpdate, FleetView};
@@ -41,6 +42,8 @@
     cold_digest: u64,
     /// Time at which a control replica last was certain that the state is the committed one.
     confirmed_at: Option<Instant>,
+    /// That time by the clock that also counts while the machine is suspended.
+    confirmed_boot: Duration,
     /// Control replicas from the latest confirmed reply.
     replicas: Vec<SocketAddr>,
     /// Control replicas from the settings.
@@ -120,8 +123,10 @@
 
     /// Returns whether the state was confirmed recently, so that a route it lacks doesn't exist.
     pub fn is_current(&self, now: Instant) -> bool {
-        let confirmed_at = lock(&self.followed).confirmed_at;
-        confirmed_at.is_some_and(|confirmed_at| now < confirmed_at + MAX_CONFIRMATION_AGE)
+        let followed = lock(&self.followed);
+        let recent = |confirmed_at: Instant| now < confirmed_at + MAX_CONFIRMATION_AGE;
+        let boot_age = pause::boot_time().saturating_sub(followed.confirmed_boot);
+        followed.confirmed_at.is_some_and(recent) && boot_age < MAX_CONFIRMATION_AGE
     }
 
     /// Returns the revision, the digest of the list of entry hosts, and the digest of the cold
@@ -250,7 +255,11 @@
             balancer.set_hosts(ready.collect());
         }
         let confirmed_at = reply.confirmed_ago.and_then(|ago| now.checked_sub(ago));
-        followed.confirmed_at = followed.confirmed_at.max(confirmed_at);
+        if confirmed_at > followed.confirmed_at {
+            let age = reply.confirmed_ago.unwrap_or_default();
+            followed.confirmed_boot = pause::boot_time().saturating_sub(age);
+            followed.confirmed_at = confirmed_at;
+        }
     }
 
     fn set_view(&self, now: Instant, view: FleetView) {
