--- a/crates/balance/src/notice.rs
+++ b/crates/balance/src/notice.rs
@@ -11,8 +11,8 @@
 /// Longest rest that a backend server can ask for.
 pub const MAX_REST: Duration = Duration::from_secs(600);
 
-/// Time for which a request to be left alone is remembered after the server is gone from the view. A
-/// late announcement may list the same incarnation again.
+/// Time for which a notice is remembered, also after its server is gone from the view: a late
+/// announcement may list the same incarnation again.
 const NOTICE_RETENTION: Duration = Duration::from_secs(900);
 
 /// Longest addition to a rest, as a fraction of it. It differs between hosts, so that they don't all
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -182,7 +182,7 @@
                 AttemptEnd::Withdrawn,
                 false,
                 None,
-                "server closed to it".into(),
+                "the server must not get it any more".into(),
             );
         }
         connection.http.begin_head();
@@ -250,7 +250,8 @@
             Ok(body) => body,
             Err(BufferError::TooLarge) => return oversized("a body over the limit"),
             Err(_) if connection.http.is_exhausted() => return oversized("a body without end"),
-            Err(e) => return broken(e.to_string()),
+            Err(BufferError::Truncated(e)) => return broken(format!("the answer was cut: {e}")),
+            Err(e @ BufferError::NoRoom) => return broken(e.to_string()),
         };
         let closes = has_connection_close(&parts.headers);
         if let Some(timeout) = announced_idle_timeout(&parts.headers) {
