fix(balance,director): a restart no longer makes warm servers cold, and a cold one keeps nothing back

The best one was cold, its rate was used up, and the request was refused without a look at the others. And 20 servers that had been warm for half a minute counted as cold: a replica that replays its log takes the announcement of a server's start for news.

Change: a cold server whose rate is used up is no candidate; if none is left, the refusal tells when the next request may go to one. A replayed announcement makes its server cold only if the server started recently by the time of day (3 s for the difference of clocks); its next announcement tells exactly. Ruled out: hosts that know no load after their start (candidates had room by what was known).

The load that it answers: many servers cold at once, or believed to be.

--- a/crates/balance/src/candidate.rs
+++ b/crates/balance/src/candidate.rs
@@ -11,6 +11,7 @@
     SoonestServer,
 };
 use crate::region::RegionLoad;
+use crate::server::TrackedServer;
 
 /// Round trip to a backend server in the same region.
 const LOCAL_ROUND_TRIP: Duration = Duration::from_millis(3);
@@ -100,10 +101,25 @@
     /// Takes a token for one request to a cold backend server, and returns whether there was one.
     pub(crate) fn try_take_cold_token(&self, now: Instant, key: ServerKey) -> bool {
         let server = &self.servers[key];
+        server.try_take_cold_token(now, self.cold_rate(server), COLD_BURST)
+    }
+
+    /// Returns the rate, in requests a second, at which this host may send requests to a server while
+    /// the server is cold.
+    fn cold_rate(&self, server: &TrackedServer) -> f64 {
         let spec = self.specs.get(&server.record.service);
         let permitted = spec.map_or(0.0, |spec| spec.cold_rate) * self.settings.cold_factor;
-        let rate = permitted * COLD_RATE_FRACTION;
-        server.try_take_cold_token(now, rate, COLD_BURST)
+        permitted * COLD_RATE_FRACTION
+    }
+
+    /// Returns the time until this host may send a request to a server, as far as the server is cold;
+    /// `None` if another host sends the requests to it meanwhile.
+    fn cold_wait(&self, now: Instant, server: &TrackedServer) -> Option<Duration> {
+        if !server.is_cold(now) {
+            return Some(Duration::ZERO);
+        }
+        let owns = self.is_cold_owner(server);
+        owns.then(|| server.cold_wait(now, self.cold_rate(server), COLD_BURST))
     }
 
     /// Returns the candidates for a request with their costs.
@@ -123,9 +139,10 @@
             let server = &self.servers[*key];
             let home = query.home_regions.is_empty() || query.home_regions.contains(&server.region);
             let probe = !server.is_recovering() || server.in_flight() == 0;
-            let cold = !server.is_cold(now) || self.is_cold_owner(server);
+            // A cold server whose rate is used up must not keep the request from the others.
+            let has_room = self.cold_wait(now, server) == Some(Duration::ZERO);
             home && probe
-                && cold
+                && has_room
                 && server.accepts_requests()
                 && !server.is_ejected(now)
                 && !server.is_resting(now)
@@ -305,19 +322,30 @@
         }
     }
 
-    /// Returns the time until the first of the backend servers that rest, but could else get the
-    /// request, is a candidate again.
-    fn shortest_rest(&self, now: Instant, query: &ServerQuery<'_>) -> Option<Duration> {
+    /// Returns the time until the first of the backend servers that rest, or are cold and have used up
+    /// their rate, is a candidate again, and which of both it is.
+    fn shortest_wait(
+        &self,
+        now: Instant,
+        query: &ServerQuery<'_>,
+    ) -> Option<(Duration, RefusalCause)> {
         let group = self.groups.get(query.service)?;
         let keys = group.servers.iter();
         let servers = keys.filter(|key| !query.tried.contains(key));
-        let rests = servers.filter_map(|key| {
+        let waits = servers.filter_map(|key| {
             let server = &self.servers[*key];
             let home = query.home_regions.is_empty() || query.home_regions.contains(&server.region);
-            let rest = server.rest_left(now)?;
-            (home && server.accepts_requests()).then_some(rest)
+            if !home || !server.accepts_requests() {
+                return None;
+            }
+            let cold = self.cold_wait(now, server)?;
+            match server.rest_left(now) {
+                Some(rest) => Some((rest.max(cold), RefusalCause::Resting)),
+                None if cold.is_zero() => None,
+                None => Some((cold, RefusalCause::Full)),
+            }
         });
-        rests.min()
+        waits.min_by_key(|(wait, _)| *wait)
     }
 
     /// Returns the refusal for a request that no candidate was chosen for.
@@ -333,16 +361,16 @@
             limit: candidate.latency_limit(query),
         });
         let soonest = soonest.min_by(|a, b| a.forecast.seconds().total_cmp(&b.forecast.seconds()));
-        let (cause, retry_after) = match (soonest, self.shortest_rest(now, query)) {
-            (None, Some(rest)) => (RefusalCause::Resting, rest.max(MIN_RETRY_AFTER)),
+        let (cause, retry_after) = match (soonest, self.shortest_wait(now, query)) {
+            (None, Some((wait, cause))) => (cause, wait.max(MIN_RETRY_AFTER)),
             (None, None) => {
                 let typical = self.typical_processing_time(query.service);
                 (RefusalCause::NoServer, typical.max(MIN_RETRY_AFTER * 4))
             }
-            (Some(soonest), rest) => {
+            (Some(soonest), wait) => {
                 let excess = (soonest.forecast.seconds() - soonest.limit).max(0.0);
                 let excess = Duration::from_secs_f64(excess);
-                let soonest = rest.map_or(excess, |rest| rest.min(excess));
+                let soonest = wait.map_or(excess, |(wait, _)| wait.min(excess));
                 (RefusalCause::Full, soonest.max(MIN_RETRY_AFTER))
             }
         };
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -313,6 +313,11 @@
         self.cold_bucket.try_take(now, 1.0, rate, burst).is_ok()
     }
 
+    /// Returns the time until [`try_take_cold_token`](Self::try_take_cold_token) has a token.
+    pub fn cold_wait(&self, now: Instant, rate: f64, burst: f64) -> Duration {
+        self.cold_bucket.wait(now, 1.0, rate, burst)
+    }
+
     /// Counts a request as in flight.
     pub fn begin_request(&mut self) {
         self.in_flight += 1;
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -177,6 +177,39 @@
     );
 }
 
+/// The load that this answers: after a restart of many servers this host is the owner of a cold one,
+/// whose rate allows few of the requests. The others have room, so that nothing is refused.
+#[test]
+fn requests_that_a_cold_server_has_no_room_for_go_to_the_others() {
+    const COLD_RATE: f64 = 2.0;
+    let now = Instant::now();
+    let servers = [record("s1", "east-a", 40), record("s2", "east-a", 40)];
+    for object in [None, Some(7)] {
+        let mut balancer = balancer(now, &servers);
+        balancer.set_view(now, &view(&servers, COLD_RATE));
+        for id in ["s1", "s2"] {
+            let mut balancer = self::balancer(now, &servers);
+            balancer.set_view(now, &view(&servers, COLD_RATE));
+            balancer.set_cold(now, id, Duration::from_secs(3));
+            let mut cold = 0;
+            for _ in 0..30 {
+                let chosen = balancer.choose(now, &query(object)).unwrap();
+                cold += u32::from(chosen.record.id == id);
+            }
+            assert!(cold <= 2, "{cold} requests to the cold server");
+        }
+        // While all are cold, the refusal tells when the next request may go to one.
+        for id in ["s1", "s2"] {
+            balancer.set_cold(now, id, Duration::from_secs(3));
+        }
+        let refusal = (0..30).find_map(|_| balancer.choose(now, &query(object)).err());
+        let refusal = refusal.unwrap();
+        assert_eq!(refusal.cause, RefusalCause::Full);
+        let next = Duration::from_secs_f64(1.0 / (COLD_RATE * 1.5 * 0.47));
+        assert!(refusal.retry_after <= next, "{refusal:?}");
+    }
+}
+
 /// The retries of all hosts together stay within ratio and slack, although each host knows only its
 /// own requests.
 #[test]
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -4,7 +4,7 @@
 //! performs.
 
 use std::collections::{BTreeMap, HashMap};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use fleet::change::{ChangeLog, FleetChange, FleetUpdate, FleetView};
 use fleet::command::{CommandOutcome, FleetCommand};
@@ -60,6 +60,9 @@
 /// stale state accepts no announcements, and entry hosts go on to another one.
 pub const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1_200);
 
+/// Largest difference between the times of day of two machines that is expected.
+const MAX_CLOCK_ERROR: Duration = Duration::from_secs(3);
+
 /// Log entries between snapshots.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 512;
 
@@ -96,6 +99,8 @@
     started_at: Instant,
     last_request: RequestId,
     snapshot_index: LogIndex,
+    /// Index of the last log entry that was recovered from the disk.
+    recovered_index: LogIndex,
     applied_term: Term,
     /// Time at which this replica became the leader; `None` where it isn't.
     leader_since: Option<Instant>,
@@ -136,6 +141,7 @@
         config.seed = rand::random();
         let snapshot_index = recovered.snapshot.index;
         let applied_term = recovered.snapshot.term;
+        let recovered_index = recovered.entries.last().map_or(0, |entry| entry.index);
         Ok(Self {
             machine: QuorumMachine::new(now, config, recovered),
             changes: ChangeLog::new(state.revision()),
@@ -154,6 +160,7 @@
             started_at: now,
             last_request: 0,
             snapshot_index,
+            recovered_index,
             applied_term,
             leader_since: None,
             confirmed_at: None,
@@ -347,9 +354,9 @@
                     record.cold.as_millis(),
                 );
                 self.announced_at.insert(record.id.clone(), now);
-                if !record.cold.is_zero() {
-                    self.liveness
-                        .set_cold(now, &record.id, record.born, record.cold);
+                let cold = self.remaining_cold(index, record);
+                if !cold.is_zero() {
+                    self.liveness.set_cold(now, &record.id, record.born, cold);
                 }
             }
             FleetChange::ServerGone(id) => {
@@ -372,6 +379,21 @@
         }
     }
 
+    /// Returns the time for which a backend server remains cold, whose announcement is applied now.
+    ///
+    /// An announcement in the log of before a restart may be old, so its server counts as cold only if
+    /// it started recently. The next announcement tells exactly.
+    fn remaining_cold(&self, index: LogIndex, record: &ServerRecord) -> Duration {
+        if index > self.recovered_index {
+            return record.cold;
+        }
+        let born = SystemTime::UNIX_EPOCH + Duration::from_millis(record.born);
+        let age = SystemTime::now().duration_since(born).unwrap_or_default();
+        record
+            .cold
+            .saturating_sub(age.saturating_sub(MAX_CLOCK_ERROR))
+    }
+
     fn restore(&mut self, now: Instant, snapshot: &LogSnapshot) {
         match decode_state(snapshot) {
             Ok(state) => {
--- a/crates/guard/src/bucket.rs
+++ b/crates/guard/src/bucket.rs
@@ -63,6 +63,22 @@
         }
     }
 
+    /// Returns the time until `units` can be taken, at most [`RateBucket::MAX_WAIT`]; zero if they can
+    /// be taken now.
+    pub fn wait(&self, now: Instant, units: f64, rate: f64, burst: f64) -> Duration {
+        if rate <= 0.0 {
+            return Self::MAX_WAIT;
+        }
+        let now = atomic::nanos_of(now);
+        let limit = now.saturating_add(nanos(burst / rate));
+        let old = self.empty_at.load(Ordering::Relaxed);
+        let new = old.max(now).saturating_add(nanos(units / rate));
+        if new > limit.saturating_add(1) {
+            return Duration::from_nanos(new - limit).min(Self::MAX_WAIT);
+        }
+        Duration::ZERO
+    }
+
     /// Takes `units` unconditionally, because they are already spent, and returns the time that the
     /// bucket then needs to drain.
     pub fn charge(&self, now: Instant, units: f64, rate: f64) -> Duration {
