fix(gateway): a client that sends without end leaves the thread to others

The lingering close of a refused connection reads as long as the client sends, up to its time limit, and its reads never wait while bytes are there; nor do those of the request path. Both now yield (after each read, after 16 in a row), and a lingering close reads 1 MiB at most.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,6 +9,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
+use async_std::task;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -18,10 +19,17 @@
 /// Longest time for which a lingering close reads and discards bytes of the client.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Most bytes that a lingering close reads.
+const MAX_LINGER_BYTES: usize = 1 << 20;
+
+/// Reads in a row that find bytes, after which the task yields.
+const MAX_READS_IN_A_ROW: u32 = 16;
+
 /// A handle to a client socket; clones share the socket.
 #[derive(Debug, Clone)]
 pub struct ClientStream {
     socket: Arc<TcpStream>,
+    reads_in_a_row: u32,
 }
 
 impl ClientStream {
@@ -29,6 +37,7 @@
     pub fn new(socket: TcpStream) -> Self {
         Self {
             socket: Arc::new(socket),
+            reads_in_a_row: 0,
         }
     }
 
@@ -45,9 +54,9 @@
         }
     }
 
-    /// Closes the writing side, then reads and discards bytes until the client closes its side or a
-    /// timeout passes. Closing the socket with unread bytes at once would reset the connection, and
-    /// the client could lose the last answer.
+    /// Closes the writing side, then reads and discards bytes until the client closes its side, has sent
+    /// too many, or a timeout passes. Closing the socket with unread bytes at once would reset the
+    /// connection, and the client could lose the last answer.
     pub async fn lingering_close(&self) {
         let shutdown = socket2::SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write);
         if shutdown.is_err() {
@@ -55,16 +64,19 @@
         }
         let reading = async {
             let mut scratch = vec![0; 4096];
-            loop {
+            let mut discarded = 0;
+            while discarded < MAX_LINGER_BYTES {
                 if self.socket.readable().await.is_err() {
                     return;
                 }
                 match self.socket.try_read(&mut scratch) {
                     Ok(0) => return,
-                    Ok(_) => {}
+                    Ok(count) => discarded += count,
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                     Err(_) => return,
                 }
+                // While the client sends, the socket is always readable.
+                task::yield_now().await;
             }
         };
         let _ = tokio::time::timeout(LINGER_TIMEOUT, reading).await;
@@ -73,14 +85,23 @@
 
 impl AsyncRead for ClientStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.reads_in_a_row >= MAX_READS_IN_A_ROW {
+            self.reads_in_a_row = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         loop {
-            ready!(self.socket.poll_read_ready(cx))?;
+            if self.socket.poll_read_ready(cx)?.is_pending() {
+                self.reads_in_a_row = 0;
+                return Poll::Pending;
+            }
             match self.socket.try_read(buffer.initialize_unfilled()) {
                 Ok(count) => {
+                    self.reads_in_a_row += 1;
                     buffer.advance(count);
                     return Poll::Ready(Ok(()));
                 }
