fix(gateway,forward,wire): a closing listener passes on every connection, and requests in transit are answered

Cause, three gaps at the end of a planned stop: - The backlog was emptied by polling the runtime's accept, which trusts the readiness of the last event. Connections that arrived since are not seen and are reset by the close (backlog.rs, first case: all 5 of 5 reset with the former loop). - Between the last accept and the close the kernel may accept one more. - A connection taken over then was idle in a stopping host, so it was closed before its first bytes were read; so was any open one whose request was in transit (4 of 4 cases of the new test failed).

Ruled out: lost answers of requests that were read (their connections stay until the answer is written).

Change: wire::backlog::close filters SYN segments, accepts from the queue itself until it is empty, waits for handshakes under way and accepts once more. The host closes idle connections only 300 ms after it closed its listener. Both proxies use it.

New cases: before 5 failed, after all pass.

Conclusion: clients that connect in the last 10 ms wait for one retransmission and are then refused; none that is connected is cut.

--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::future::{self, Either, FutureExt};
+use futures_util::future::{self, Either};
 use http::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Limited};
@@ -20,6 +20,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use wire::backlog;
 
 use crate::body::AnswerBody;
 use crate::connection;
@@ -132,10 +133,10 @@
                 Either::Right(_) => self.shared.forwarder.close_idle_connections(Instant::now()),
             }
         }
-        while let Some(accepted) = listener.accept().now_or_never() {
-            self.handle_accepted(accepted).await;
-        }
-        drop(listener);
+        backlog::close(listener, |stream, peer| {
+            self.handle_connection(stream, peer)
+        })
+        .await;
         self.shared.listeners.send_modify(|count| *count -= 1);
     }
 
@@ -162,19 +163,22 @@
         StopReport { unfinished }
     }
 
-    /// Serves an accepted connection, or refuses it above the limit. Waits after a failed accept.
+    /// Handles the result of an accept. Waits after a failed one.
     async fn handle_accepted(&self, accepted: std::io::Result<(TcpStream, SocketAddr)>) {
-        let (stream, peer) = match accepted {
-            Ok(accepted) => accepted,
+        match accepted {
+            Ok((stream, peer)) => self.handle_connection(stream, peer),
             Err(err) => {
                 log::warn!(
                     target: "forward",
                     "can't accept a connection, trying again in {ACCEPT_RETRY_DELAY:?}: {err}"
                 );
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                return;
             }
-        };
+        }
+    }
+
+    /// Serves an accepted connection, or refuses it above the limit.
+    fn handle_connection(&self, stream: TcpStream, peer: SocketAddr) {
         let shared = self.shared.clone();
         match shared.connections.clone().try_acquire_owned() {
             Ok(permit) => {
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -21,7 +21,7 @@
 
 use crate::answer::AnswerBody;
 use crate::attempt;
-use crate::server::ServerPhase;
+use crate::server::{self, ServerPhase};
 use crate::stream::ClientStream;
 
 /// Maximum number of requests of one connection that run at the same time.
@@ -147,7 +147,7 @@
     Read(std::io::Result<usize>),
     /// The client closed its side of the connection.
     Disconnected,
-    /// No request is unanswered, and the idle timeout has passed or the server is stopping.
+    /// No request is unanswered, and the idle timeout has passed or the server closes idle connections.
     Idle,
 }
 
@@ -161,15 +161,15 @@
     }
 }
 
-/// Waits until an idle connection ends: the idle timeout has passed or the server is stopping. Waits
-/// forever unless `is_idle` is set.
+/// Waits until an idle connection ends: the idle timeout has passed or the server closes idle
+/// connections. Waits forever unless `is_idle` is set.
 async fn idle_end(phase: &mut watch::Receiver<ServerPhase>, idle_timeout: Duration, is_idle: bool) {
     if !is_idle {
         return future::pending().await;
     }
-    let stopping = std::pin::pin!(phase.wait_for(|phase| *phase == ServerPhase::Stopping));
+    let closing = std::pin::pin!(server::wait_phase(phase, ServerPhase::ClosingIdle));
     let timeout = std::pin::pin!(tokio::time::sleep(idle_timeout));
-    let _ = future::select(stopping, timeout).await;
+    let _ = future::select(closing, timeout).await;
 }
 
 /// Reads bytes into the buffer; waits forever unless `reads` is set.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -23,6 +23,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use wire::backlog;
 
 use crate::answer::{AnswerBody, HostAnswer};
 use crate::attempt;
@@ -44,6 +45,13 @@
 /// Share of the shutdown timeout for which the host drains, that is, still accepts connections.
 const DRAIN_SHARE: f64 = 0.5;
 
+/// Longest time for which a stopping host still waits for requests on open connections, so that those
+/// in transit are answered.
+const TRANSIT_GRACE: Duration = Duration::from_millis(300);
+
+/// Largest share of the shutdown timeout that [`TRANSIT_GRACE`] takes.
+const MAX_GRACE_SHARE: f64 = 0.2;
+
 /// Share of the shutdown timeout after which the shutdown ends even if connections are left.
 const MAX_SHUTDOWN_SHARE: f64 = 0.94;
 
@@ -61,14 +69,16 @@
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
 /// Phase of a server, from start to shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ServerPhase {
     /// Accepts connections and keeps them open between requests.
     Serving,
     /// Accepts connections, and closes each connection after its next answer.
     Draining,
-    /// Accepts no connections, and also closes those that have no request in flight.
+    /// Accepts no connections, and still serves a request on each open one.
     Stopping,
+    /// Also closes the connections without a request in flight.
+    ClosingIdle,
 }
 
 /// Serves client connections.
@@ -95,7 +105,7 @@
         let mut phase = self.phase.subscribe();
         let mut idle_checks = tokio::time::interval(IDLE_CHECK_INTERVAL);
         loop {
-            let stopping = std::pin::pin!(wait_stopping(&mut phase));
+            let stopping = std::pin::pin!(wait_phase(&mut phase, ServerPhase::Stopping));
             let accepted = std::pin::pin!(listener.accept());
             let idle_check = std::pin::pin!(idle_checks.tick());
             match future::select(future::select(stopping, accepted), idle_check).await {
@@ -113,10 +123,10 @@
                 Either::Right(_) => self.forwarder.sender().pool.close_idle(Instant::now()),
             }
         }
-        // Closing the listener resets the connections that the kernel has accepted.
-        while let Some(Ok((socket, peer))) = listener.accept().now_or_never() {
+        let spawn = |socket, peer| {
             task::spawn(Arc::clone(&self).serve_connection(socket, peer));
-        }
+        };
+        backlog::close(listener, spawn).await;
     }
 
     /// Shuts down gracefully: closes each connection after its next answer, then also the
@@ -127,6 +137,8 @@
         self.phase.send_replace(ServerPhase::Draining);
         task::sleep(timeout.mul_f64(DRAIN_SHARE)).await;
         self.phase.send_replace(ServerPhase::Stopping);
+        task::sleep(TRANSIT_GRACE.min(timeout.mul_f64(MAX_GRACE_SHARE))).await;
+        self.phase.send_replace(ServerPhase::ClosingIdle);
         let end = started_at + timeout.mul_f64(MAX_SHUTDOWN_SHARE);
         while self.connections.load(Ordering::Acquire) > 0 && Instant::now() < end {
             task::sleep(SHUTDOWN_POLL_INTERVAL).await;
@@ -195,18 +207,18 @@
         let mut phase = self.phase.subscribe();
         let end = {
             let disconnected = std::pin::pin!(stream.disconnected());
-            let stopping = std::pin::pin!(wait_stopping(&mut phase));
+            let closing = std::pin::pin!(wait_phase(&mut phase, ServerPhase::ClosingIdle));
             let serving = future::poll_fn(|cx| http.poll_without_shutdown(cx));
-            match future::select(serving, future::select(disconnected, stopping)).await {
+            match future::select(serving, future::select(disconnected, closing)).await {
                 Either::Left(_) => ServingEnd::Complete,
                 Either::Right((Either::Left(_), _)) => ServingEnd::Disconnected,
-                Either::Right((Either::Right(_), _)) => ServingEnd::Stopping,
+                Either::Right((Either::Right(_), _)) => ServingEnd::Closing,
             }
         };
         match end {
             ServingEnd::Complete => {}
             ServingEnd::Disconnected => return,
-            ServingEnd::Stopping => {
+            ServingEnd::Closing => {
                 Pin::new(&mut http).graceful_shutdown();
                 let disconnected = std::pin::pin!(stream.disconnected());
                 let serving = future::poll_fn(|cx| http.poll_without_shutdown(cx));
@@ -331,8 +343,8 @@
     Complete,
     /// The client disconnected.
     Disconnected,
-    /// The server is stopping.
-    Stopping,
+    /// The server closes idle connections.
+    Closing,
 }
 
 async fn read_body(
@@ -351,9 +363,7 @@
     })
 }
 
-/// Waits until the server is [`ServerPhase::Stopping`].
-async fn wait_stopping(phase: &mut watch::Receiver<ServerPhase>) {
-    let _ = phase
-        .wait_for(|phase| *phase == ServerPhase::Stopping)
-        .await;
+/// Waits until the server is in the given phase or a later one.
+pub(crate) async fn wait_phase(phase: &mut watch::Receiver<ServerPhase>, awaited: ServerPhase) {
+    let _ = phase.wait_for(|phase| *phase >= awaited).await;
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,12 +8,14 @@
 //! | module | contents |
 //! |---|---|
 //! | [`v1`] | generated messages, clients and servers |
+//! | [`backlog`] | closing of a listener under load |
 //! | [`dial`] | outgoing gRPC connections, and limits on message sizes |
 //! | [`listen`] | limits on incoming gRPC connections |
 //! | [`token`] | the access token of a call, and interceptors that add and check it |
 //! | [`http`] | HTTP/1 connections to backend servers |
 //! | [`metered`] | a stream with limited reads |
 
+pub mod backlog;
 pub mod dial;
 pub mod http;
 pub mod listen;
