feat(director,balance,gateway): a server that says it is leaving is avoided by all hosts

Cause: Server-Leaving in an answer bound only the host that read it. Every other host went on sending until the announcement came, or until it had an answer of its own.

Change: hosts tell their control replica of such incarnations in the next call; the replica keeps each as a hint for 10 s, tells the other replicas at once and its hosts with the next batch. Hosts choose among other servers, and fall back to a hinted one only if none of those would answer in time. A repeated hint isn't extended, and replicas pass on only what hosts told them, so hints end.

Ruled out: making the server leave in the committed state, which a single wrong answer could then do.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -170,7 +170,14 @@
     ) -> Result<ChosenServer, LoadRefusal> {
         let region_loads = self.region_loads(now, query.service);
         let spills = self.decide_spill(now, query, &region_loads);
-        let candidates = self.candidates(now, query, &region_loads, spills);
+        let (usable, hinted) = self.usable_servers(now, query);
+        let mut candidates = self.candidates(now, query, &region_loads, spills, &usable);
+        if !candidates
+            .iter()
+            .any(|candidate| candidate.is_in_time(query))
+        {
+            candidates.extend(self.candidates(now, query, &region_loads, spills, &hinted));
+        }
         let Some(best) = self.best_candidate(query, &candidates, spills) else {
             return Err(self.refusal(now, query, &candidates));
         };
@@ -249,6 +256,21 @@
         notices != before
     }
 
+    /// Takes the incarnations of backend servers that said since the last call that they are leaving, to
+    /// tell the other hosts.
+    pub fn take_leaving(&mut self) -> Vec<(ids::ServerId, ids::StartTime)> {
+        self.notices.take_leaving()
+    }
+
+    /// Records for a period from now that a backend server told another host that it is leaving.
+    /// Another incarnation, or an unknown id, is ignored.
+    pub fn set_hint(&mut self, now: Instant, id: &str, born: ids::StartTime, period: Duration) {
+        let server = self.keys.get(id).and_then(|key| self.servers.get_mut(*key));
+        if let Some(server) = server.filter(|server| server.record.born == born) {
+            server.set_hinted(now + period);
+        }
+    }
+
     /// Returns the state of a service, which is created if it doesn't exist.
     pub(crate) fn group_mut(&mut self, service: &str) -> &mut ServiceGroup {
         let group = self.groups.entry(service.to_string());
--- a/crates/balance/src/candidate.rs
+++ b/crates/balance/src/candidate.rs
@@ -92,7 +92,7 @@
     }
 
     /// Returns whether the server is expected to answer in time.
-    fn is_in_time(&self, query: &ServerQuery<'_>) -> bool {
+    pub(crate) fn is_in_time(&self, query: &ServerQuery<'_>) -> bool {
         self.forecast.seconds() <= self.latency_limit(query)
     }
 }
@@ -122,18 +122,15 @@
         owns.then(|| server.cold_wait(now, self.cold_rate(server), COLD_BURST))
     }
 
-    /// Returns the candidates for a request with their costs.
-    ///
-    /// If the request spills, its object is assigned to the other regions, else to this region.
-    pub(crate) fn candidates(
+    /// Returns the backend servers that may get a request: first those to choose from, then those that
+    /// are probably leaving, which get it only if none of the others answers in time.
+    pub(crate) fn usable_servers(
         &self,
         now: Instant,
         query: &ServerQuery<'_>,
-        region_loads: &[RegionLoad; 2],
-        spills: bool,
-    ) -> Vec<ServerCandidate> {
+    ) -> (Vec<ServerKey>, Vec<ServerKey>) {
         let Some(group) = self.groups.get(query.service) else {
-            return Vec::new();
+            return (Vec::new(), Vec::new());
         };
         let usable = group.servers.iter().copied().filter(|key| {
             let server = &self.servers[*key];
@@ -148,10 +145,26 @@
                 && !server.is_resting(now)
                 && !query.tried.contains(key)
         });
-        let usable: Vec<_> = usable.collect();
+        usable.partition(|key| !self.servers[*key].is_hinted(now))
+    }
+
+    /// Returns the candidates among usable backend servers for a request, with their costs.
+    ///
+    /// If the request spills, its object is assigned to the other regions, else to this region.
+    pub(crate) fn candidates(
+        &self,
+        now: Instant,
+        query: &ServerQuery<'_>,
+        region_loads: &[RegionLoad; 2],
+        spills: bool,
+        usable: &[ServerKey],
+    ) -> Vec<ServerCandidate> {
+        let Some(group) = self.groups.get(query.service) else {
+            return Vec::new();
+        };
         let Some(object) = query.object else {
-            let candidates = usable.into_iter().filter_map(|key| {
-                self.candidate(now, group, region_loads, ObjectAffinity::Warm, key)
+            let candidates = usable.iter().filter_map(|key| {
+                self.candidate(now, group, region_loads, ObjectAffinity::Warm, *key)
             });
             return candidates.collect();
         };
@@ -162,7 +175,7 @@
             } else {
                 UNASSIGNED_CANDIDATES
             };
-            let owners = self.object_owners(object, local, count, &usable);
+            let owners = self.object_owners(object, local, count, usable);
             owners.into_iter().enumerate().map(move |(rank, key)| {
                 let affinity = match (assigned, rank) {
                     (true, 0) => ObjectAffinity::Owner,
--- a/crates/balance/src/notice.rs
+++ b/crates/balance/src/notice.rs
@@ -49,6 +49,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct NoticeTable {
     entries: HashMap<(ids::ServerId, ids::StartTime), NoticeEntry>,
+    /// Incarnations that are leaving, as long as the other hosts aren't told.
+    untold: Vec<(ids::ServerId, ids::StartTime)>,
 }
 
 #[derive(Debug, Default)]
@@ -73,10 +75,15 @@
                 .is_some_and(|noted_at| now < noted_at + NOTICE_RETENTION)
         });
         let incarnation = (record.id.clone(), record.born);
-        let entry = self.entries.entry(incarnation).or_default();
+        let entry = self.entries.entry(incarnation.clone()).or_default();
         entry.noted_at = Some(now);
         match notice {
-            ServerNotice::Leaving => entry.state.leaving = true,
+            ServerNotice::Leaving => {
+                if !entry.state.leaving {
+                    self.untold.push(incarnation);
+                }
+                entry.state.leaving = true;
+            }
             ServerNotice::Rest(period) => {
                 let jitter = rest_jitter(host, &record.id);
                 let until = now + period.min(MAX_REST).mul_f64(1.0 + jitter);
@@ -86,6 +93,11 @@
         entry.state
     }
 
+    /// Takes the incarnations that said since the last call that they are leaving.
+    pub(crate) fn take_leaving(&mut self) -> Vec<(ids::ServerId, ids::StartTime)> {
+        std::mem::take(&mut self.untold)
+    }
+
     /// Returns the notices of an incarnation that are in force.
     pub(crate) fn state(&self, record: &ServerRecord) -> NoticeState {
         if self.entries.is_empty() {
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -114,6 +114,8 @@
     /// version of the list of entry hosts for which that was determined.
     pub(crate) cold_owner: Cell<Option<(u64, bool)>>,
     notices: NoticeState,
+    /// End of the hint that the server is leaving.
+    hinted_until: Option<Instant>,
     /// Whether the server asked for a rest and hasn't run a request since.
     rested: bool,
     /// Requests of this host that have no result yet.
@@ -152,6 +154,7 @@
             evacuated: false,
             cold_owner: Cell::new(None),
             notices: NoticeState::default(),
+            hinted_until: None,
             rested: false,
             in_flight: 0,
             others_load: 0.0,
@@ -194,6 +197,16 @@
         Some(until.saturating_duration_since(now))
     }
 
+    /// Sets the end of the hint that the server is leaving.
+    pub fn set_hinted(&mut self, until: Instant) {
+        self.hinted_until = Some(until);
+    }
+
+    /// Returns whether other hosts have heard from the server that it is leaving.
+    pub fn is_hinted(&self, now: Instant) -> bool {
+        self.hinted_until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether the server is ejected after failures.
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
--- a/crates/balance/tests/notices.rs
+++ b/crates/balance/tests/notices.rs
@@ -8,12 +8,13 @@
 
 mod simulation;
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use balance::balancer::LoadBalancer;
 use balance::notice::{ServerNotice, MAX_REST};
 use balance::query::{AttemptReport, ChosenServer, RefusalCause};
-use balance::server::AttemptEnd;
+use balance::server::{AttemptEnd, ReportedLoad};
 use fleet::change::FleetChange;
 use fleet::server::ServerRecord;
 use rstest::rstest;
@@ -137,6 +138,81 @@
     }
 }
 
+/// Another host heard from a server that it is leaving. This host knows only that.
+#[rstest]
+#[case::hinted(1, 9_999, false)]
+#[case::hint_has_ended(1, 10_000, true)]
+#[case::hint_of_an_earlier_incarnation(0, 0, true)]
+fn a_hinted_server_gets_no_requests_while_another_can_take_them(
+    #[case] born: u64,
+    #[case] elapsed_ms: u64,
+    #[case] chosen: bool,
+) {
+    let start = Instant::now();
+    let mut balancer = balancer(start, "host-0", &[server(), record("s2", "east-a", 4)]);
+    balancer.set_hint(start, "s1", born, Duration::from_secs(10));
+    let now = start + Duration::from_millis(elapsed_ms);
+    let servers: BTreeSet<_> = (0..50)
+        .map(|object| {
+            let chosen = balancer.choose(now, &query(Some(object))).unwrap();
+            finish(&mut balancer, now, &chosen, AttemptEnd::Dropped);
+            chosen.record.id
+        })
+        .collect();
+    assert_eq!(servers.contains("s1"), chosen);
+    assert!(servers.contains("s2"));
+}
+
+/// A hint is no proof, so it must not make a request fail that the server would answer.
+#[test]
+fn a_hinted_server_gets_a_request_that_no_other_can_answer_in_time() {
+    let now = Instant::now();
+    let hint = Duration::from_secs(10);
+    let mut alone = balancer(now, "host-0", &[server()]);
+    alone.set_hint(now, "s1", 1, hint);
+    assert!(is_chosen(&mut alone, now));
+
+    let mut balancer = balancer(now, "host-0", &[server(), record("s2", "east-a", 4)]);
+    let mut finish_with_load = |id: &str, waiting: u32| {
+        let chosen: Vec<_> = (0..2)
+            .map(|_| balancer.choose(now, &query(None)).unwrap())
+            .collect();
+        for chosen in chosen {
+            let load = ReportedLoad {
+                running: 4,
+                waiting,
+                slots: 4,
+            };
+            let report = AttemptReport {
+                end: AttemptEnd::Dropped,
+                took: Duration::from_millis(10),
+                load: (chosen.record.id == id).then_some(load),
+                object: None,
+                forecast: chosen.forecast,
+            };
+            balancer.finish(now, chosen.key, report);
+        }
+    };
+    finish_with_load("s1", 0);
+    finish_with_load("s2", 100);
+    balancer.set_hint(now, "s1", 1, hint);
+    let chosen = balancer.choose(now, &query(None)).unwrap();
+    assert_eq!(chosen.record.id, "s1");
+}
+
+#[test]
+fn each_leaving_incarnation_is_told_to_other_hosts_once() {
+    let now = Instant::now();
+    let mut balancer = balancer(now, "host-0", &[server()]);
+    balancer.record_notice(now, &server(), ServerNotice::Leaving);
+    balancer.record_notice(now, &server(), ServerNotice::Leaving);
+    balancer.record_notice(now, &reborn(), ServerNotice::Rest(Duration::from_secs(1)));
+    assert_eq!(balancer.take_leaving(), [("s1".to_string(), 1)]);
+    balancer.record_notice(now, &reborn(), ServerNotice::Leaving);
+    assert_eq!(balancer.take_leaving(), [("s1".to_string(), 2)]);
+    assert!(balancer.take_leaving().is_empty());
+}
+
 #[rstest]
 #[case::whole(&[(0, 2_000)], 2_000)]
 #[case::fraction(&[(0, 1_250)], 1_250)]
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -9,7 +9,7 @@
 use fleet::change::{ChangeLog, FleetChange, FleetUpdate, FleetView};
 use fleet::command::{CommandOutcome, FleetCommand};
 use fleet::ids;
-use fleet::server::ServerRecord;
+use fleet::server::{ServerRecord, ServerState};
 use fleet::state::FleetState;
 use quorum::config::QuorumConfig;
 use quorum::entry::{EntryPayload, LogEntry, LogSnapshot, RecoveredState};
@@ -23,10 +23,11 @@
 use crate::address;
 use crate::call::{AnnounceDecision, CoreAction, CoreCall, DirectorDump};
 use crate::follow::FollowQueue;
+use crate::hints::{self, HintTable};
 use crate::hosts::HostLists;
 use crate::liveness::{self, LivenessTable};
 use crate::loads::LoadTable;
-use crate::message::{FollowReply, FollowRequest, ProposeOutcome, ReadOutcome};
+use crate::message::{FollowReply, FollowRequest, LeavingServer, ProposeOutcome, ReadOutcome};
 use crate::metrics::DirectorMetrics;
 use crate::settings::DirectorSettings;
 use crate::shares::ShareTable;
@@ -86,6 +87,7 @@
     liveness: LivenessTable,
     shares: ShareTable,
     loads: LoadTable,
+    hints: HintTable,
     /// Time at which the latest announcement of each backend server was applied here.
     announced_at: BTreeMap<ids::ServerId, Instant>,
     /// Outcomes of the latest applied commands, by log index.
@@ -151,6 +153,7 @@
             liveness: LivenessTable::new(),
             shares: ShareTable::default(),
             loads: LoadTable::default(),
+            hints: HintTable::default(),
             announced_at: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             pending_replies: HashMap::new(),
@@ -211,6 +214,7 @@
             CoreCall::Gossip { from, mut report } => {
                 let shares = std::mem::take(&mut report.shares);
                 self.shares.record_replica(now, from, shares);
+                self.hints.merge(now, std::mem::take(&mut report.hints));
                 if report.revision == self.changes.latest_revision() {
                     let ids = server_ids(&self.state);
                     self.loads.merge_sums(now, &ids, &report.loads);
@@ -517,6 +521,7 @@
             let ids = server_ids(&self.state);
             self.loads.record_host(now, &ids, &request.loads);
         }
+        self.record_hints(now, std::mem::take(&mut request.leaving));
         if self.liveness.record_host(now, &request.host) {
             let host = &request.host;
             log::info!(
@@ -533,6 +538,26 @@
         self.follows.push(now, request, reply);
     }
 
+    /// Records backend servers that told an entry host that they are leaving. Those that the committed
+    /// state already holds back need no hint.
+    fn record_hints(&mut self, now: Instant, leaving: Vec<LeavingServer>) {
+        for server in leaving {
+            let record = self.state.server(&server.id);
+            let is_ready = record.is_some_and(|record| {
+                record.born == server.born && record.state == ServerState::Ready
+            });
+            if !is_ready {
+                continue;
+            }
+            let (id, born) = (server.id.clone(), server.born);
+            if self.hints.record(now, server) {
+                log::info!(target: "hosts", "server says that it is leaving; server={id} born={born}");
+                // The other replicas get the hint at once.
+                self.next_report = now;
+            }
+        }
+    }
+
     /// Updates the list of entry hosts that are alive.
     fn refresh_hosts(&mut self, now: Instant) {
         if let Some(hosts) = self.liveness.take_changed_hosts(now) {
@@ -544,7 +569,9 @@
     /// alone doesn't make a request outdated: it goes out with the next answer.
     fn answer_follows(&mut self, now: Instant) {
         let latest = self.changes.latest_revision();
-        if latest != self.checked_revision || self.liveness.take_became_cold() {
+        let became_cold = self.liveness.take_became_cold();
+        let hinted = self.hints.take_changed();
+        if latest != self.checked_revision || became_cold || hinted {
             self.checked_revision = latest;
             self.follows.mark_changed();
         }
@@ -557,8 +584,12 @@
         }
         let cold = self.liveness.cold(now);
         let cold_digest = liveness::cold_digest(now, self.started_at, &cold);
+        let hints = self.hints.current(now);
+        let hints_digest = hints::digest(&hints);
         let batch = self.follows.take_batch(now, |request| {
-            request.revision != Some(latest) || request.cold_digest != cold_digest
+            request.revision != Some(latest)
+                || request.cold_digest != cold_digest
+                || request.hints_digest != hints_digest
         });
         if batch.is_empty() {
             return;
@@ -577,6 +608,8 @@
                 confirmed_ago,
                 cold: (request.cold_digest != cold_digest).then(|| cold.clone()),
                 cold_digest,
+                hints: (request.hints_digest != hints_digest).then(|| hints.clone()),
+                hints_digest,
                 hosts: self.host_lists.update_since(request.hosts_digest),
                 hosts_digest: self.host_lists.current().digest(),
                 shares: shares.get(&request.region).cloned().unwrap_or_default(),
@@ -604,6 +637,7 @@
     fn queue_report(&mut self, now: Instant) {
         let mut report = self.liveness.take_report(now);
         report.shares = self.shares.report(now);
+        report.hints = self.hints.take_report(now);
         report.revision = self.changes.latest_revision();
         report.loads = self.loads.take_sums(now, &server_ids(&self.state));
         if report.servers.is_empty() && report.hosts.is_empty() {
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`core`] | consensus, replicated state, liveness, answers to entry hosts |
 //! | [`liveness`] | failure detection |
 //! | [`directory`] | choice of the entry hosts for a client |
+//! | [`hints`] | hints that backend servers are leaving |
 //! | [`loads`] | mean loads of the backend servers |
 //! | [`shares`] | mean spill shares of the regions |
 //! | [`mesh`] | client for calls to other processes |
@@ -27,6 +28,7 @@
 pub mod directory;
 pub mod follow;
 pub mod handle;
+pub mod hints;
 pub mod hosts;
 pub mod liveness;
 pub mod loads;
--- a/crates/director/src/message.rs
+++ b/crates/director/src/message.rs
@@ -179,6 +179,25 @@
     }
 }
 
+/// Incarnation of a backend server that says in its answers that it is leaving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingServer {
+    /// Id of the server.
+    pub id: ids::ServerId,
+    /// Start time, which identifies the incarnation.
+    pub born: ids::StartTime,
+}
+
+/// Hint that a backend server is leaving. Entry hosts that haven't heard it from the server itself
+/// prefer other servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingHint {
+    /// The server.
+    pub server: LeavingServer,
+    /// Time for which the hint still holds.
+    pub remaining: Duration,
+}
+
 /// A long poll of an entry host for the changes after its copy.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct FollowRequest {
@@ -193,10 +212,14 @@
     /// Loads that backend servers reported to the entry host since its last call; the indexes are
     /// those at `revision`.
     pub loads: Vec<LoadReading>,
+    /// Backend servers that told the entry host since its last call that they are leaving.
+    pub leaving: Vec<LeavingServer>,
     /// Digest of the caller's list of entry hosts.
     pub hosts_digest: u64,
     /// Digest of the caller's list of cold backend servers.
     pub cold_digest: u64,
+    /// Digest of the caller's list of hints.
+    pub hints_digest: u64,
     /// Time for which the replica may hold the call while it has nothing new.
     #[serde(rename = "patience")]
     pub max_wait: Duration,
@@ -215,6 +238,10 @@
     pub cold: Option<Vec<(ids::ServerId, Duration)>>,
     /// Digest of the replica's list of cold backend servers.
     pub cold_digest: u64,
+    /// Hints that backend servers are leaving; `None` where the caller's list is the same.
+    pub hints: Option<Vec<LeavingHint>>,
+    /// Digest of the replica's list of hints.
+    pub hints_digest: u64,
     /// Update of the caller's list of the entry hosts that are alive.
     pub hosts: HostsUpdate,
     /// Digest of the list of entry hosts that are alive.
@@ -256,6 +283,8 @@
     pub servers: Vec<ServerLiveness>,
     /// Entry hosts that called.
     pub hosts: Vec<HostLiveness>,
+    /// Hints that entry hosts reported.
+    pub hints: Vec<LeavingHint>,
     /// Sums of the shares that entry hosts reported.
     pub shares: Vec<SpillShareSum>,
     /// Revision at which the indexes in `loads` are valid.
--- a/crates/director/tests/follow.rs
+++ b/crates/director/tests/follow.rs
@@ -21,8 +21,10 @@
         shares: Vec::new(),
         revision: Some(revision),
         loads: Vec::new(),
+        leaving: Vec::new(),
         hosts_digest: 0,
         cold_digest: 0,
+        hints_digest: 0,
         max_wait: MAX_WAIT,
     }
 }
--- a/crates/director/tests/restart.rs
+++ b/crates/director/tests/restart.rs
@@ -88,8 +88,10 @@
             shares: Vec::new(),
             revision: None,
             loads: Vec::new(),
+            leaving: Vec::new(),
             hosts_digest: 0,
             cold_digest: 0,
+            hints_digest: 0,
             max_wait: Duration::ZERO,
         };
         let request = Box::new(request);
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -91,13 +91,15 @@
         let Some(replica) = self.replicas.first().copied() else {
             return false;
         };
-        let (revision, hosts_digest, cold_digest) = self.state.followed_versions();
+        let versions = self.state.followed_versions();
         let request = MeshRequest::Follow(Box::new(FollowRequest {
             shares: self.state.spill_shares(),
             loads: self.state.take_readings(),
-            revision,
-            hosts_digest,
-            cold_digest,
+            leaving: self.state.take_leaving(),
+            revision: versions.revision,
+            hosts_digest: versions.hosts_digest,
+            cold_digest: versions.cold_digest,
+            hints_digest: versions.hints_digest,
             max_wait,
             ..status_request(&self.settings, self.state.is_ready())
         }));
@@ -126,7 +128,7 @@
         let confirmed = reply
             .confirmed_ago
             .is_some_and(|ago| ago < MAX_CONFIRMATION_AGE);
-        let (revision, ..) = self.state.followed_versions();
+        let revision = self.state.followed_versions().revision;
         // The first state must be confirmed, because an older process that was left behind without
         // a quorum may reply with an outdated one.
         if revision.is_none() && !confirmed {
@@ -215,9 +217,11 @@
         region: balance.region(&balance.zone).to_string(),
         shares: Vec::new(),
         loads: Vec::new(),
+        leaving: Vec::new(),
         revision: None,
         hosts_digest: 0,
         cold_digest: 0,
+        hints_digest: 0,
         max_wait: Duration::ZERO,
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,7 @@
 use balance::settings::BalanceSettings;
 use clock::pause;
 use director::hosts::{self, HostsByName};
-use director::message::{FollowReply, LoadReading, SpillShare};
+use director::message::{FollowReply, LeavingServer, LoadReading, SpillShare};
 use fleet::change::{FleetUpdate, FleetView};
 use fleet::ids;
 use fleet::site::{RouteSpec, SiteConfig};
@@ -29,17 +29,25 @@
     pub site: SiteConfig,
 }
 
+/// Versions of what a host knows, from which a control replica determines the updates that it needs.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct FollowedVersions {
+    /// Revision of the routes and backend servers; `None` before the first reply.
+    pub revision: Option<ids::Revision>,
+    /// Digest of the list of entry hosts; 0 while there is none.
+    pub hosts_digest: u64,
+    /// Digest of the cold backend servers.
+    pub cold_digest: u64,
+    /// Digest of the hints that backend servers are leaving.
+    pub hints_digest: u64,
+}
+
 /// Position of the host in the updates from the control replicas, and the addresses of these.
 #[derive(Debug, Default)]
 struct FollowedState {
-    /// Revision of the routes and backend servers; `None` before the first reply.
-    revision: Option<ids::Revision>,
+    versions: FollowedVersions,
     /// Entry hosts that are alive, by name.
     hosts: HostsByName,
-    /// Digest of the list of entry hosts; 0 while there is none.
-    hosts_digest: u64,
-    /// Digest of the cold backend servers.
-    cold_digest: u64,
     /// Time at which a control replica last was certain that the state is the committed one.
     confirmed_at: Option<Instant>,
     /// That time by the clock that also counts while the machine is suspended.
@@ -129,15 +137,17 @@
         followed.confirmed_at.is_some_and(recent) && boot_age < MAX_CONFIRMATION_AGE
     }
 
-    /// Returns the revision, the digest of the list of entry hosts, and the digest of the cold
-    /// backend servers. From these, a control replica determines the updates that the host needs.
-    pub fn followed_versions(&self) -> (Option<ids::Revision>, u64, u64) {
-        let followed = lock(&self.followed);
-        (
-            followed.revision,
-            followed.hosts_digest,
-            followed.cold_digest,
-        )
+    /// Returns the versions of what the host knows.
+    pub fn followed_versions(&self) -> FollowedVersions {
+        lock(&self.followed).versions
+    }
+
+    /// Takes the backend servers that told this host since the last call that they are leaving.
+    pub fn take_leaving(&self) -> Vec<LeavingServer> {
+        let leaving = self.balancer().take_leaving().into_iter();
+        leaving
+            .map(|(id, born)| LeavingServer { id, born })
+            .collect()
     }
 
     /// Returns the spill shares of the services, to be shared with the other hosts.
@@ -165,7 +175,7 @@
     /// Returns a summary of the state.
     pub fn dump(&self) -> GatewayDump {
         let now = Instant::now();
-        let (revision, ..) = self.followed_versions();
+        let revision = self.followed_versions().revision;
         let confirmed_at = lock(&self.followed).confirmed_at;
         let balancer = self.balancer();
         GatewayDump {
@@ -207,7 +217,8 @@
         match reply.update {
             FleetUpdate::Current => {}
             FleetUpdate::Changes { revision, changes } => {
-                if followed.revision.is_none_or(|current| revision <= current) {
+                let known = followed.versions.revision;
+                if known.is_none_or(|current| revision <= current) {
                     return;
                 }
                 let mut balancer = self.balancer();
@@ -217,16 +228,14 @@
                         self.set_routes(version, site);
                     }
                 }
-                followed.revision = Some(revision);
+                followed.versions.revision = Some(revision);
             }
             FleetUpdate::Whole(view) => {
-                if followed
-                    .revision
-                    .is_some_and(|current| view.revision < current)
-                {
+                let known = followed.versions.revision;
+                if known.is_some_and(|current| view.revision < current) {
                     return;
                 }
-                followed.revision = Some(view.revision);
+                followed.versions.revision = Some(view.revision);
                 self.set_view(now, *view);
             }
         }
@@ -238,14 +247,19 @@
             balancer.approach_mean_share(&mean.service, f64::from(mean.share));
         }
         // The loads are in the order of the backend servers at this revision.
-        if followed.revision == Some(reply.loads.revision) {
+        if followed.versions.revision == Some(reply.loads.revision) {
             balancer.set_shared_loads(now, reply.loads.means());
         }
-        followed.cold_digest = reply.cold_digest;
+        for hint in reply.hints.iter().flatten() {
+            let server = &hint.server;
+            balancer.set_hint(now, &server.id, server.born, hint.remaining);
+        }
+        followed.versions.cold_digest = reply.cold_digest;
+        followed.versions.hints_digest = reply.hints_digest;
         if reply.hosts.apply(&mut followed.hosts) {
             let digest = hosts::digest(&followed.hosts);
             // A list that differs from that of the replica is replaced as a whole by the next reply.
-            followed.hosts_digest = if digest == reply.hosts_digest {
+            followed.versions.hosts_digest = if digest == reply.hosts_digest {
                 digest
             } else {
                 0
