--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -148,8 +148,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ClientError::Refused`] if the process refuses the query, and
-    /// [`ClientError::Unknown`] if it doesn't answer.
+    /// Returns [`ClientError::NotFound`], [`ClientError::TooOld`] or [`ClientError::Refused`] if the
+    /// process refuses the query, and [`ClientError::Unknown`] if it doesn't answer.
     pub async fn query_at<T: DeserializeOwned>(
         &self,
         address: SocketAddr,
@@ -157,7 +157,7 @@
     ) -> Result<T, ClientError> {
         let response = self.call(address, Method::Get, path, Vec::new()).await?;
         if response.status == StatusCode::NotFound {
-            return Err(ClientError::Refused(format!("{path}: not found")));
+            return Err(ClientError::NotFound(path.to_string()));
         }
         if response.status != StatusCode::Ok {
             return Err(response_error(&response));
@@ -264,6 +264,9 @@
     if response.status.is_server_error() || response.status == StatusCode::TooManyRequests {
         return ClientError::Unknown(response.reason());
     }
+    if let Ok(TicketVerdict::TooOld { lowest }) = serde_json::from_slice(&response.body) {
+        return ClientError::TooOld(lowest);
+    }
     if response.status == StatusCode::Unauthorized {
         return ClientError::Refused("the access token is wrong".to_string());
     }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -2,7 +2,9 @@
 
 use std::io;
 
+use ledger::verdict::TicketVerdict;
 use model::fault::InputFault;
+use model::ids;
 use quick_error::quick_error;
 
 use crate::exit::ExitStatus;
@@ -24,6 +26,14 @@
         Refused(reason: String) {
             display("refused: {reason}")
         }
+        /// The process knows nothing under the path.
+        NotFound(path: String) {
+            display("refused: {path}: not found")
+        }
+        /// The number is below those of the kept verdicts.
+        TooOld(lowest: ids::TicketNumber) {
+            display("{}", TicketVerdict::TooOld { lowest: *lowest })
+        }
         /// No process gave a usable answer in time, so the result is unknown.
         Unknown(reason: String) {
             display("unknown: {reason}")
@@ -36,7 +46,7 @@
     pub fn exit_status(&self) -> ExitStatus {
         match self {
             Self::Usage(_) | Self::File(..) => ExitStatus::Usage,
-            Self::Refused(_) => ExitStatus::Refused,
+            Self::Refused(_) | Self::NotFound(_) | Self::TooOld(_) => ExitStatus::Refused,
             Self::Unknown(_) => ExitStatus::Unknown,
         }
     }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -137,7 +137,8 @@
         Ok(record) => TicketVerdict::Conflict {
             holder: record.digest,
         },
-        Err(ClientError::Refused(_)) => {
+        Err(ClientError::TooOld(lowest)) => TicketVerdict::TooOld { lowest },
+        Err(ClientError::NotFound(_)) => {
             let state: ForceState = client.query("/v1/state").await?;
             preview::preview(&state, ticket)
         }
--- a/crates/cli/tests/submit.rs
+++ b/crates/cli/tests/submit.rs
@@ -17,6 +17,11 @@
 );
 const CONFLICT: (&str, &str) = ("409 Conflict", r#"{"verdict":"conflict","holder":"x"}"#);
 const TOO_OLD: (&str, &str) = ("410 Gone", r#"{"verdict":"too-old","lowest":4}"#);
+const NOT_FOUND: (&str, &str) = ("404 Not Found", r#"{"error":"no ticket has this number"}"#);
+const EMPTY_STATE: (&str, &str) = (
+    "200 OK",
+    r#"{"revision":0,"digest":0,"regions":{},"links":{},"hosts":{},"services":{},"blocks":{}}"#,
+);
 const UNKNOWN: (&str, &str) = ("503 Service Unavailable", "lost quorum");
 const UNAUTHORIZED: (&str, &str) = ("401 Unauthorized", "");
 const MALFORMED: (&str, &str) = (
@@ -44,8 +49,10 @@
                 let mut stream = stream.unwrap();
                 let mut request = vec![0; 65536];
                 let mut length = 0;
-                // The body of the request ends with the closing brace of the ticket's JSON.
-                while !request[..length].ends_with(b"}") {
+                // The body of a submitted ticket ends with the closing brace of its JSON.
+                while !request[..length].ends_with(b"}")
+                    && !(request.starts_with(b"GET ") && request[..length].ends_with(b"\r\n\r\n"))
+                {
                     length += stream.read(&mut request[length..]).unwrap();
                 }
                 let index = requests.fetch_add(1, Ordering::SeqCst);
@@ -67,6 +74,11 @@
 
 /// Runs `wisteria submit` with a timeout of 1 s.
 fn submit(controls: &[SocketAddr]) -> Output {
+    submit_with(controls, &[])
+}
+
+/// Runs [`submit`] with further flags.
+fn submit_with(controls: &[SocketAddr], flags: &[&str]) -> Output {
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("ticket.toml");
     fs::write(
@@ -83,6 +95,7 @@
             "--controls",
             &controls.join(","),
         ])
+        .args(flags)
         .arg(&file)
         .env_clear()
         .env("WISTERIA_TOKEN", "0123456789abcdef")
@@ -125,3 +138,22 @@
     drop(listener);
     assert_eq!(submit(&[address]).status.code(), Some(3));
 }
+
+/// The replicas' answers to the query for the number, and then for the state, decide the preview.
+#[rstest]
+#[case::too_old(&[TOO_OLD], 1, "the number is below 4")]
+#[case::open(&[NOT_FOUND, EMPTY_STATE], 0, "would be: accepted")]
+#[case::wrong_token(&[UNAUTHORIZED], 1, "the access token is wrong")]
+fn a_preview_says_what_would_become_of_the_ticket(
+    #[case] responses: &[(&'static str, &'static str)],
+    #[case] exit: i32,
+    #[case] text: &str,
+) {
+    let (controls, requests) = start_replicas(responses);
+    let output = submit_with(&controls, &["--dry-run"]);
+    let printed = [output.stdout, output.stderr].concat();
+    let printed = String::from_utf8_lossy(&printed);
+    assert_eq!(output.status.code(), Some(exit), "{printed}");
+    assert!(printed.contains(text), "{printed}");
+    assert_eq!(requests.load(Ordering::SeqCst), responses.len());
+}
--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -52,8 +52,8 @@
     Ticket {
         /// Number of the ticket.
         number: ids::TicketNumber,
-        /// Receives the ticket and its verdict, or `None` where no verdict is kept.
-        reply: oneshot::Sender<Option<TicketSummary>>,
+        /// Receives what is known about the number.
+        reply: oneshot::Sender<TicketLookup>,
     },
     /// An operator requests the verdicts on the highest ticket numbers.
     Tickets {
@@ -118,6 +118,20 @@
     pub shares: PlaceRates,
 }
 
+/// What a replica knows about a ticket number.
+#[derive(Debug, Clone, PartialEq)]
+pub enum TicketLookup {
+    /// A verdict is kept.
+    Known(TicketSummary),
+    /// No ticket has the number.
+    Open,
+    /// Verdicts on numbers this low aren't kept, so a ticket with the number is refused.
+    TooOld {
+        /// Lowest number for which tickets are evaluated.
+        lowest: ids::TicketNumber,
+    },
+}
+
 /// A ticket's number, digest and verdict.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct TicketSummary {
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -164,7 +164,7 @@
                 let _ = reply.send(self.lease(now, report));
             }
             CoreCall::Ticket { number, reply } => {
-                let _ = reply.send(self.ticket(number));
+                let _ = reply.send(self.look_up_ticket(number));
             }
             CoreCall::Tickets { limit, reply } => {
                 let _ = reply.send(self.tickets(limit));
--- a/crates/control/src/core/views.rs
+++ b/crates/control/src/core/views.rs
@@ -5,11 +5,11 @@
 use model::ids;
 
 use super::ReplicaCore;
-use crate::call::{HostStatus, StatusReport, TicketSummary};
+use crate::call::{HostStatus, StatusReport, TicketLookup, TicketSummary};
 
 impl ReplicaCore {
     /// Returns a ticket's digest and verdict, if the verdict is kept.
-    pub(super) fn ticket(&self, number: ids::TicketNumber) -> Option<TicketSummary> {
+    fn ticket(&self, number: ids::TicketNumber) -> Option<TicketSummary> {
         let record = self.ledger.record(number)?;
         Some(TicketSummary {
             number,
@@ -18,6 +18,16 @@
         })
     }
 
+    /// Returns what is known about a ticket number.
+    pub(super) fn look_up_ticket(&self, number: ids::TicketNumber) -> TicketLookup {
+        let lowest = self.ledger.lowest_open_number();
+        match self.ticket(number) {
+            Some(ticket) => TicketLookup::Known(ticket),
+            None if number < lowest => TicketLookup::TooOld { lowest },
+            None => TicketLookup::Open,
+        }
+    }
+
     /// Returns tickets in descending order of their numbers, `limit` at most.
     pub(super) fn tickets(&self, limit: usize) -> Vec<TicketSummary> {
         let numbers = self.ledger.records().map(|(number, _)| number);
--- a/crates/control/src/operator/tickets.rs
+++ b/crates/control/src/operator/tickets.rs
@@ -1,5 +1,6 @@
 //! Handlers that submit tickets and read verdicts.
 
+use ledger::verdict::TicketVerdict;
 use model::fault::InputFault;
 use model::ids;
 use model::raw::RawTicket;
@@ -7,7 +8,7 @@
 use serde::Deserialize;
 use tide::{Request, StatusCode};
 
-use crate::call::CoreCall;
+use crate::call::{CoreCall, TicketLookup};
 use crate::operator::answers;
 use crate::operator::routes::OperatorContext;
 
@@ -28,7 +29,8 @@
     Ok(answers::verdict_answer(verdict.as_ref()))
 }
 
-/// Answers `GET /v1/tickets/{number}`: the verdict on a ticket, read linearizably.
+/// Answers `GET /v1/tickets/{number}`: the verdict on a ticket, read linearizably. A number below the
+/// kept verdicts gets the verdict that a new ticket with that number would get.
 pub(crate) async fn show(request: Request<OperatorContext>) -> tide::Result {
     let number = match path_number(&request) {
         Ok(number) => number,
@@ -40,9 +42,12 @@
     }
     let call = |reply| CoreCall::Ticket { number, reply };
     Ok(match context.core.ask(call).await {
-        Some(Some(ticket)) => answers::json_answer(StatusCode::Ok, &ticket),
-        Some(None) => {
-            answers::error_answer(StatusCode::NotFound, "no verdict on this number is kept")
+        Some(TicketLookup::Known(ticket)) => answers::json_answer(StatusCode::Ok, &ticket),
+        Some(TicketLookup::Open) => {
+            answers::error_answer(StatusCode::NotFound, "no ticket has this number")
+        }
+        Some(TicketLookup::TooOld { lowest }) => {
+            answers::verdict_answer(Some(&TicketVerdict::TooOld { lowest }))
         }
         None => answers::unconfirmed(),
     })
--- a/crates/control/tests/operator_interface.rs
+++ b/crates/control/tests/operator_interface.rs
@@ -304,6 +304,12 @@
         }
         assert_eq!(put(15), (410, json!({"verdict": "too-old", "lowest": 21})));
         assert_eq!(put(5).0, 410);
+        let shown = HttpCall::get(operators, "/v1/tickets/5").bearer(TOKEN);
+        let shown = shown.send().unwrap();
+        let too_old = json!({"verdict": "too-old", "lowest": 21});
+        assert_eq!((shown.status, shown.json().unwrap()), (410, too_old));
+        let open = HttpCall::get(operators, "/v1/tickets/500").bearer(TOKEN);
+        assert_eq!(open.send().unwrap().status, 404);
         assert_eq!(put(120).0, 200);
     }
     assert_eq!(process.stop(common::TIMEOUT).unwrap(), Some(0));
--- a/crates/ledger/src/tickets.rs
+++ b/crates/ledger/src/tickets.rs
@@ -117,7 +117,7 @@
     ///
     /// With a full window, this is the lowest kept number: the verdict on a lower number would be
     /// dropped immediately, and the ticket would get a different verdict when submitted again.
-    fn lowest_open_number(&self) -> ids::TicketNumber {
+    pub fn lowest_open_number(&self) -> ids::TicketNumber {
         if self.verdicts.len() < self.window {
             return self.lowest;
         }
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -55,14 +55,20 @@
         Self::new(std::env::args_os().skip(1).collect(), env)
     }
 
-    /// Returns whether a flag without a value is given, or its variable is `true` or `1`.
+    /// Returns whether a flag without a value is given, or its variable is `true` or `1`. Values other
+    /// than these, `false` and `0` are validation errors.
     pub fn flag(&mut self, name: &'static str) -> bool {
-        let given = self.args.contains(flag_name(name));
-        given
-            || self
-                .env
-                .get(&variable_name(name))
-                .is_some_and(|v| v == "true" || v == "1")
+        if self.args.contains(flag_name(name)) {
+            return true;
+        }
+        match self.variable(name).as_deref() {
+            Some("true" | "1") => true,
+            None | Some("false" | "0") => false,
+            Some(other) => {
+                self.fault(name, other, "true, 1, false or 0");
+                false
+            }
+        }
     }
 
     /// Reads an optional setting; returns `None` if it is absent or invalid.
--- a/crates/settings/tests/reader.rs
+++ b/crates/settings/tests/reader.rs
@@ -55,6 +55,25 @@
     .assert_eq(&lines.join("\n"));
 }
 
+/// A value that is taken for "not set" would silently turn a flag off.
+#[test]
+fn a_flag_takes_true_or_false_from_its_variable_and_refuses_others() {
+    for (value, set) in [("true", true), ("1", true), ("false", false), ("0", false)] {
+        let mut reader = reader(&[], &[("WISTERIA_BOOTSTRAP", value)]);
+        assert_eq!(reader.flag("bootstrap"), set);
+        assert!(reader.finish().is_ok());
+    }
+    for value in ["yes", "TRUE", ""] {
+        let mut reader = reader(&[], &[("WISTERIA_BOOTSTRAP", value)]);
+        assert!(!reader.flag("bootstrap"));
+        let fault = reader.finish().unwrap_err().remove(0);
+        assert_eq!(
+            fault.to_string(),
+            format!("--bootstrap or WISTERIA_BOOTSTRAP: \"{value}\" is not allowed: true, 1, false or 0")
+        );
+    }
+}
+
 #[test]
 fn the_token_is_read_from_a_file_or_a_variable_and_never_shown() {
     let folder = tempfile::tempdir().unwrap();
