fix(quorum): after a restart of all, an election starts as soon as the former lease is over

Ruled out: standing earlier. A restarted voter may have granted a lease before, so it must wait for its end; restarted_followers_respect_the_lease_of_an_isolated_leader holds as before.

Change: until a replica has heard a leader since its start, its timer is the end of that lease plus up to two heartbeats, and retries follow after one to two heartbeats. A replica that restarts beside a living leader hears from it long before.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -15,12 +15,7 @@
         if self.now < self.election_deadline {
             return;
         }
-        // A replica that led before its restart retries at short intervals until the others are up.
-        if self.last_leader_contact.is_none() && self.hard.leader == Some(self.config.id) {
-            self.reset_election_timer_soon();
-        } else {
-            self.reset_election_timer();
-        }
+        self.reset_election_timer();
         self.leader = None;
         if !self.is_member() || self.is_blank() || self.stopping {
             return;
--- a/crates/quorum/src/follower.rs
+++ b/crates/quorum/src/follower.rs
@@ -18,6 +18,7 @@
         }
         self.become_follower(message.term, Some(from));
         self.last_leader_contact = Some(self.now);
+        self.has_heard_leader = true;
         if self.hard.leader != Some(from) {
             self.hard.leader = Some(from);
             self.writes.mark_hard_state_changed();
--- a/crates/quorum/src/machine.rs
+++ b/crates/quorum/src/machine.rs
@@ -37,6 +37,8 @@
     /// Time of the latest message from a leader; initially the start time. `None` if no leader's
     /// lease can depend on this replica.
     pub(crate) last_leader_contact: Option<Instant>,
+    /// Whether a leader made contact since the start.
+    pub(crate) has_heard_leader: bool,
     pub(crate) election_deadline: Instant,
     pub(crate) votes: BTreeSet<ids::ReplicaId>,
     pub(crate) leadership: Option<Leadership>,
@@ -80,6 +82,7 @@
             writes: WriteQueue::new(log.last_index()),
             now,
             last_leader_contact: Some(now),
+            has_heard_leader: false,
             election_deadline: now,
             votes: BTreeSet::new(),
             leadership: None,
@@ -251,9 +254,14 @@
         }
     }
 
-    /// Resets the election timer to a random time of one to two minimum election timeouts.
+    /// Resets the election timer to a random time of one to two minimum election timeouts. Before the
+    /// first contact of a leader since the start there is probably none, so the time is short.
     pub(crate) fn reset_election_timer(&mut self) {
-        self.set_election_timer(self.config.min_election_timeout);
+        if self.has_heard_leader {
+            self.set_election_timer(self.config.min_election_timeout);
+        } else {
+            self.reset_election_timer_soon();
+        }
     }
 
     /// Resets the election timer to a random time of one to two heartbeat intervals, which leaves
@@ -268,13 +276,17 @@
     }
 
     /// Sets the election timer at start. A replica that was the latest leader knows that its own
-    /// lease has ended with its former process, and that no other leader's lease depends on it.
+    /// lease has ended with its former process, and that no other leader's lease depends on it. Any
+    /// other waits for the end of the lease that its former process may have granted, and starts an
+    /// election soon afterwards: a leader would have made contact by then.
     fn start_election_timer(&mut self) {
         if self.hard.leader == Some(self.config.id) {
             self.last_leader_contact = None;
             return self.reset_election_timer_soon();
         }
-        self.reset_election_timer();
+        let jitter = self.random.random_range(0.0..2.0);
+        let after_lease = self.config.heartbeat_interval.mul_f64(jitter);
+        self.election_deadline = self.now + self.config.min_election_timeout + after_lease;
     }
 
     /// Draws a nonce for greetings.
--- a/crates/quorum/tests/restart.rs
+++ b/crates/quorum/tests/restart.rs
@@ -48,6 +48,26 @@
     cluster.converge().unwrap();
 }
 
+/// The lease of a leader that doesn't restart may still hold, so the others wait for its end, but not
+/// much longer.
+#[test]
+fn killed_replicas_elect_a_leader_soon_after_the_lease_of_a_lost_one() {
+    for seed in 1..=40 {
+        let mut cluster = running_cluster(seed);
+        let leader = cluster.leader().expect("a leader");
+        for id in cluster.ids() {
+            cluster.crash(id);
+        }
+        for id in cluster.ids().into_iter().filter(|id| *id != leader) {
+            cluster.start(id);
+        }
+        cluster.run_for(MIN_ELECTION_TIMEOUT * 2).unwrap();
+        assert!(cluster.leader().is_some(), "seed {seed}");
+        cluster.start(leader);
+        cluster.converge().unwrap();
+    }
+}
+
 /// The former leader may lack entries that the others have. Another replica must then be elected
 /// without waiting for the full election timeout.
 #[test]
