feat(director,balance,gateway): hosts learn from each other which servers answer nobody

Each of 64 hosts sends such a server a request in 4 s or more, so none of them learns it alone; the servers still announce themselves.

Change: a host tells its control replica of attempts that are late (the time of a hedge), unreachable or misdirected, as long as the server has answered nothing since. Replicas pass these reports on. Two hosts without an answer, and 0.8 s in which the server answers no host, make it unresponsive: hosts leave it alone for 3, 6, then 8 s, except for one request at a time of one host; if more than half of a service is unresponsive the hints are ignored.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fleet::change::{FleetChange, FleetView};
+use fleet::hint::{ServerHint, ServerIncarnation};
 use fleet::ids;
 use fleet::server::ServerRecord;
 use fleet::site::ServiceSpec;
@@ -31,6 +32,8 @@
     pub(crate) specs: HashMap<ids::ServiceName, ServiceSpec>,
     pub(crate) evacuated: Vec<ids::ZoneName>,
     notices: NoticeTable,
+    /// Backend servers that the control replicas gave hints about.
+    hinted: Vec<ServerKey>,
     /// Entry hosts that are ready.
     hosts: Vec<RankedHost>,
     /// Version of the list of entry hosts.
@@ -59,6 +62,7 @@
             specs: HashMap::new(),
             evacuated: Vec::new(),
             notices: NoticeTable::default(),
+            hinted: Vec::new(),
             hosts: Vec::new(),
             hosts_version: 0,
         }
@@ -170,13 +174,13 @@
     ) -> Result<ChosenServer, LoadRefusal> {
         let region_loads = self.region_loads(now, query.service);
         let spills = self.decide_spill(now, query, &region_loads);
-        let (usable, hinted) = self.usable_servers(now, query);
-        let mut candidates = self.candidates(now, query, &region_loads, spills, &usable);
+        let usable = self.usable_servers(now, query);
+        let mut candidates = self.candidates(now, query, &region_loads, spills, &usable.preferred);
         if !candidates
             .iter()
             .any(|candidate| candidate.is_in_time(query))
         {
-            candidates.extend(self.candidates(now, query, &region_loads, spills, &hinted));
+            candidates.extend(self.candidates(now, query, &region_loads, spills, &usable.leaving));
         }
         let Some(best) = self.best_candidate(query, &candidates, spills) else {
             return Err(self.refusal(now, query, &candidates));
@@ -219,9 +223,9 @@
                     server.record_warm(object);
                 }
             }
-            // An attempt that was cancelled or timed out would have taken longer, so its latency is
-            // only a lower bound and counts only if it is already above the forecast.
-            AttemptEnd::Dropped | AttemptEnd::Late if ratio > 1.0 => {
+            // An attempt that was cancelled would have taken longer, so its latency is only a lower bound
+            // and counts only if it is already above the forecast.
+            AttemptEnd::Dropped if ratio > 1.0 => {
                 server.record_slowdown(now, ratio);
             }
             _ => {}
@@ -258,19 +262,48 @@
 
     /// Takes the incarnations of backend servers that said since the last call that they are leaving, to
     /// tell the other hosts.
-    pub fn take_leaving(&mut self) -> Vec<(ids::ServerId, ids::StartTime)> {
+    pub fn take_leaving(&mut self) -> Vec<ServerIncarnation> {
         self.notices.take_leaving()
     }
 
-    /// Records for a period from now that a backend server told another host that it is leaving.
-    /// Another incarnation, or an unknown id, is ignored.
-    pub fn set_hint(&mut self, now: Instant, id: &str, born: ids::StartTime, period: Duration) {
-        let server = self.keys.get(id).and_then(|key| self.servers.get_mut(*key));
-        if let Some(server) = server.filter(|server| server.record.born == born) {
-            server.set_hinted(now + period);
+    /// Replaces the hints about backend servers. Those about another incarnation, or an unknown server,
+    /// are ignored.
+    pub fn set_hints(&mut self, now: Instant, hints: &[ServerHint]) {
+        for key in std::mem::take(&mut self.hinted) {
+            if let Some(server) = self.servers.get_mut(key) {
+                server.clear_hint();
+            }
+        }
+        for hint in hints {
+            let Some(key) = self.keys.get(&hint.server.id).copied() else {
+                continue;
+            };
+            let server = &mut self.servers[key];
+            if server.record.born == hint.server.born {
+                server.set_hint(hint.kind, now + hint.remaining);
+                self.hinted.push(key);
+            }
+        }
+    }
+
+    /// Records that a running attempt has no answer yet although one is overdue.
+    pub fn record_late(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.record_unanswered();
         }
     }
 
+    /// Takes the positions, in the order of ids, of the backend servers that left an attempt since the
+    /// last call without an answer in time, and have answered none since.
+    pub fn take_unanswered(&mut self) -> impl Iterator<Item = usize> + '_ {
+        let servers = &mut self.servers;
+        let keys = self.keys.values().enumerate();
+        keys.filter_map(|(position, key)| {
+            let taken = servers[*key].take_unanswered();
+            taken.then_some(position)
+        })
+    }
+
     /// Returns the state of a service, which is created if it doesn't exist.
     pub(crate) fn group_mut(&mut self, service: &str) -> &mut ServiceGroup {
         let group = self.groups.entry(service.to_string());
@@ -292,7 +325,7 @@
                 && server.record.service == record.service;
             if same_incarnation {
                 server.record = record;
-                server.cold_owner.set(None);
+                server.designated.set(None);
                 return;
             }
         }
@@ -332,10 +365,10 @@
     }
 
     /// Returns whether this host is the only one that sends requests to a backend server while the
-    /// server is cold: the first by rendezvous hashing among the hosts in the server's zone, else in its
+    /// server is cold or probably doesn't answer: the first by rendezvous hashing among the hosts in the server's zone, else in its
     /// region, else among all hosts. The result is kept until the list of hosts changes.
-    pub(crate) fn is_cold_owner(&self, server: &TrackedServer) -> bool {
-        if let Some((version, owns)) = server.cold_owner.get() {
+    pub(crate) fn is_designated(&self, server: &TrackedServer) -> bool {
+        if let Some((version, owns)) = server.designated.get() {
             if version == self.hosts_version {
                 return owns;
             }
@@ -353,7 +386,7 @@
         };
         let owner = self.hosts.iter().min_by_key(|host| rank(host));
         let owns = owner.is_some_and(|host| host.is_own);
-        server.cold_owner.set(Some((self.hosts_version, owns)));
+        server.designated.set(Some((self.hosts_version, owns)));
         owns
     }
 
--- a/crates/balance/src/candidate.rs
+++ b/crates/balance/src/candidate.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use fleet::hint::HintKind;
 use xxhash_rust::xxh3;
 
 use crate::balancer::LoadBalancer;
@@ -65,6 +66,18 @@
 /// short because a server that rejects requests in spite of free slots does so at any time.
 const MIN_RETRY_AFTER_REJECTION: Duration = Duration::from_millis(15);
 
+/// Share of a service's backend servers up to which hints that they don't answer are followed.
+const MAX_UNRESPONSIVE_SHARE: f64 = 0.5;
+
+/// Backend servers that may get a request.
+#[derive(Debug, Default)]
+pub(crate) struct UsableServers {
+    pub(crate) preferred: Vec<ServerKey>,
+    /// Servers that are probably leaving, which get a request only if none of the others would answer
+    /// it in time.
+    pub(crate) leaving: Vec<ServerKey>,
+}
+
 /// A backend server that may get a request, with its cost.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ServerCandidate {
@@ -118,34 +131,52 @@
         if !server.is_cold(now) {
             return Some(Duration::ZERO);
         }
-        let owns = self.is_cold_owner(server);
+        let owns = self.is_designated(server);
         owns.then(|| server.cold_wait(now, self.cold_rate(server), COLD_BURST))
     }
 
-    /// Returns the backend servers that may get a request: first those to choose from, then those that
-    /// are probably leaving, which get it only if none of the others answers in time.
-    pub(crate) fn usable_servers(
-        &self,
-        now: Instant,
-        query: &ServerQuery<'_>,
-    ) -> (Vec<ServerKey>, Vec<ServerKey>) {
+    /// Returns the backend servers that may get a request.
+    ///
+    /// An unresponsive one gets a request at a time from one host alone, unless so many are unresponsive
+    /// that the cause is more likely between them and the hosts.
+    pub(crate) fn usable_servers(&self, now: Instant, query: &ServerQuery<'_>) -> UsableServers {
+        let mut usable = UsableServers::default();
         let Some(group) = self.groups.get(query.service) else {
-            return (Vec::new(), Vec::new());
+            return usable;
         };
-        let usable = group.servers.iter().copied().filter(|key| {
+        let mut unresponsive = Vec::new();
+        for key in &group.servers {
             let server = &self.servers[*key];
             let home = query.home_regions.is_empty() || query.home_regions.contains(&server.region);
             let probe = !server.is_recovering() || server.in_flight() == 0;
             // A cold server whose rate is used up must not keep the request from the others.
             let has_room = self.cold_wait(now, server) == Some(Duration::ZERO);
-            home && probe
+            let is_usable = home
+                && probe
                 && has_room
                 && server.accepts_requests()
                 && !server.is_ejected(now)
                 && !server.is_resting(now)
-                && !query.tried.contains(key)
+                && !query.tried.contains(key);
+            if !is_usable {
+                continue;
+            }
+            match server.hint(now) {
+                None => usable.preferred.push(*key),
+                Some(HintKind::Leaving) => usable.leaving.push(*key),
+                Some(HintKind::Unresponsive) => unresponsive.push(*key),
+            }
+        }
+        let all = usable.preferred.len() + unresponsive.len();
+        if unresponsive.len() as f64 > all as f64 * MAX_UNRESPONSIVE_SHARE {
+            usable.preferred.append(&mut unresponsive);
+        }
+        let probed = unresponsive.into_iter().filter(|key| {
+            let server = &self.servers[*key];
+            server.in_flight() == 0 && self.is_designated(server)
         });
-        usable.partition(|key| !self.servers[*key].is_hinted(now))
+        usable.preferred.extend(probed);
+        usable
     }
 
     /// Returns the candidates among usable backend servers for a request, with their costs.
--- a/crates/balance/src/notice.rs
+++ b/crates/balance/src/notice.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use fleet::ids;
+use fleet::hint::ServerIncarnation;
 use fleet::server::ServerRecord;
 use xxhash_rust::xxh3;
 
@@ -48,9 +48,9 @@
 /// again while the incarnation runs.
 #[derive(Debug, Default)]
 pub(crate) struct NoticeTable {
-    entries: HashMap<(ids::ServerId, ids::StartTime), NoticeEntry>,
+    entries: HashMap<ServerIncarnation, NoticeEntry>,
     /// Incarnations that are leaving, as long as the other hosts aren't told.
-    untold: Vec<(ids::ServerId, ids::StartTime)>,
+    untold: Vec<ServerIncarnation>,
 }
 
 #[derive(Debug, Default)]
@@ -74,7 +74,7 @@
                 .noted_at
                 .is_some_and(|noted_at| now < noted_at + NOTICE_RETENTION)
         });
-        let incarnation = (record.id.clone(), record.born);
+        let incarnation = record.incarnation();
         let entry = self.entries.entry(incarnation.clone()).or_default();
         entry.noted_at = Some(now);
         match notice {
@@ -94,7 +94,7 @@
     }
 
     /// Takes the incarnations that said since the last call that they are leaving.
-    pub(crate) fn take_leaving(&mut self) -> Vec<(ids::ServerId, ids::StartTime)> {
+    pub(crate) fn take_leaving(&mut self) -> Vec<ServerIncarnation> {
         std::mem::take(&mut self.untold)
     }
 
@@ -103,7 +103,7 @@
         if self.entries.is_empty() {
             return NoticeState::default();
         }
-        let entry = self.entries.get(&(record.id.clone(), record.born));
+        let entry = self.entries.get(&record.incarnation());
         entry.map_or_else(NoticeState::default, |entry| entry.state)
     }
 }
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use fleet::hint::HintKind;
 use fleet::ids;
 use fleet::server::{ServerRecord, ServerState};
 use guard::bucket::RateBucket;
@@ -81,8 +82,6 @@
     /// The request wasn't sent, because the backend server must not get it any more or its deadline
     /// had passed.
     Withdrawn,
-    /// No answer came in time.
-    Late,
     /// The attempt was cancelled: the client disconnected, the deadline passed, or another attempt
     /// was faster.
     Dropped,
@@ -110,12 +109,15 @@
     pub region: ids::RegionName,
     /// Whether the server's zone is evacuated.
     pub evacuated: bool,
-    /// Whether this host is the only one that sends requests to the server while it is cold, and the
-    /// version of the list of entry hosts for which that was determined.
-    pub(crate) cold_owner: Cell<Option<(u64, bool)>>,
+    /// Whether this host is the only one that sends requests to the server while it is cold or probably
+    /// doesn't answer, and the version of the list of entry hosts for which that was determined.
+    pub(crate) designated: Cell<Option<(u64, bool)>>,
     notices: NoticeState,
-    /// End of the hint that the server is leaving.
-    hinted_until: Option<Instant>,
+    /// Hint of the control replicas, with its end.
+    hint: Option<(HintKind, Instant)>,
+    /// Whether an attempt was left without an answer in time and not yet reported to a control replica,
+    /// and none was answered since.
+    unanswered: bool,
     /// Whether the server asked for a rest and hasn't run a request since.
     rested: bool,
     /// Requests of this host that have no result yet.
@@ -152,9 +154,10 @@
             record,
             region,
             evacuated: false,
-            cold_owner: Cell::new(None),
+            designated: Cell::new(None),
             notices: NoticeState::default(),
-            hinted_until: None,
+            hint: None,
+            unanswered: false,
             rested: false,
             in_flight: 0,
             others_load: 0.0,
@@ -197,14 +200,31 @@
         Some(until.saturating_duration_since(now))
     }
 
-    /// Sets the end of the hint that the server is leaving.
-    pub fn set_hinted(&mut self, until: Instant) {
-        self.hinted_until = Some(until);
+    /// Sets the hint of the control replicas.
+    pub fn set_hint(&mut self, kind: HintKind, until: Instant) {
+        self.hint = Some((kind, until));
     }
 
-    /// Returns whether other hosts have heard from the server that it is leaving.
-    pub fn is_hinted(&self, now: Instant) -> bool {
-        self.hinted_until.is_some_and(|until| now < until)
+    /// Removes the hint of the control replicas.
+    pub fn clear_hint(&mut self) {
+        self.hint = None;
+    }
+
+    /// Returns the hint of the control replicas that is in force.
+    pub fn hint(&self, now: Instant) -> Option<HintKind> {
+        let (kind, _) = self.hint.filter(|(_, until)| now < *until)?;
+        Some(kind)
+    }
+
+    /// Records that an attempt has no answer in time.
+    pub fn record_unanswered(&mut self) {
+        self.unanswered = true;
+    }
+
+    /// Takes whether an attempt was left without an answer in time since the last call, and none was
+    /// answered since.
+    pub fn take_unanswered(&mut self) -> bool {
+        std::mem::take(&mut self.unanswered)
     }
 
     /// Returns whether the server is ejected after failures.
@@ -353,6 +373,16 @@
         if let Some(load) = load {
             self.record_load(now, load);
         }
+        match end {
+            AttemptEnd::Answered | AttemptEnd::Failed | AttemptEnd::Shed => {
+                self.unanswered = false;
+            }
+            AttemptEnd::Unreachable | AttemptEnd::Misdirected => self.record_unanswered(),
+            AttemptEnd::Broken
+            | AttemptEnd::Oversized
+            | AttemptEnd::Withdrawn
+            | AttemptEnd::Dropped => {}
+        }
         match end {
             AttemptEnd::Answered => {
                 self.record_failure(0.0);
@@ -382,7 +412,7 @@
                     self.failure_rate = EJECTION_FAILURE_RATE / 2.0;
                 }
             }
-            AttemptEnd::Unreachable | AttemptEnd::Late | AttemptEnd::Oversized => {
+            AttemptEnd::Unreachable | AttemptEnd::Oversized => {
                 self.record_failure(1.0);
                 self.eject(now);
             }
--- a/crates/director/src/call.rs
+++ b/crates/director/src/call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use fleet::command::FleetCommand;
+use fleet::hint::{HintKind, ServerHint};
 use fleet::ids;
 use fleet::server::ServerRecord;
 use quorum::event::PersistWrite;
@@ -90,6 +91,27 @@
     Report(Vec<ReplicaId>, GossipReport),
 }
 
+/// Hint about a backend server, for operators.
+#[derive(Debug, Serialize)]
+pub struct HintSummary {
+    /// Id of the server.
+    pub server: ids::ServerId,
+    /// What the hint says.
+    pub kind: HintKind,
+    /// Milliseconds for which the hint still holds.
+    pub remaining_ms: u128,
+}
+
+impl From<&ServerHint> for HintSummary {
+    fn from(hint: &ServerHint) -> Self {
+        Self {
+            server: hint.server.id.clone(),
+            kind: hint.kind,
+            remaining_ms: hint.remaining.as_millis(),
+        }
+    }
+}
+
 /// State of a control replica, for operators.
 #[derive(Debug, Serialize)]
 pub struct DirectorDump {
@@ -105,6 +127,8 @@
     pub hosts: Vec<String>,
     /// Evacuated availability zones.
     pub evacuated: Vec<ids::ZoneName>,
+    /// Backend servers that are probably leaving or answer no entry host.
+    pub hinted: Vec<HintSummary>,
     /// Milliseconds since this replica last confirmed that it has applied every committed entry;
     /// `None` where it hasn't since its start.
     pub confirmed_ago_ms: Option<u128>,
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -9,7 +9,7 @@
 use fleet::change::{ChangeLog, FleetChange, FleetUpdate, FleetView};
 use fleet::command::{CommandOutcome, FleetCommand};
 use fleet::ids;
-use fleet::server::{ServerRecord, ServerState};
+use fleet::server::ServerRecord;
 use fleet::state::FleetState;
 use quorum::config::QuorumConfig;
 use quorum::entry::{EntryPayload, LogEntry, LogSnapshot, RecoveredState};
@@ -21,13 +21,14 @@
 use tokio::sync::oneshot;
 
 use crate::address;
-use crate::call::{AnnounceDecision, CoreAction, CoreCall, DirectorDump};
+use crate::call::{AnnounceDecision, CoreAction, CoreCall, DirectorDump, HintSummary};
+use crate::evidence::ServerEvidence;
 use crate::follow::FollowQueue;
-use crate::hints::{self, HintTable};
+use crate::hints;
 use crate::hosts::HostLists;
 use crate::liveness::{self, LivenessTable};
 use crate::loads::LoadTable;
-use crate::message::{FollowReply, FollowRequest, LeavingServer, ProposeOutcome, ReadOutcome};
+use crate::message::{FollowReply, FollowRequest, GossipReport, ProposeOutcome, ReadOutcome};
 use crate::metrics::DirectorMetrics;
 use crate::settings::DirectorSettings;
 use crate::shares::ShareTable;
@@ -87,7 +88,7 @@
     liveness: LivenessTable,
     shares: ShareTable,
     loads: LoadTable,
-    hints: HintTable,
+    evidence: ServerEvidence,
     /// Time at which the latest announcement of each backend server was applied here.
     announced_at: BTreeMap<ids::ServerId, Instant>,
     /// Outcomes of the latest applied commands, by log index.
@@ -153,7 +154,7 @@
             liveness: LivenessTable::new(),
             shares: ShareTable::default(),
             loads: LoadTable::default(),
-            hints: HintTable::default(),
+            evidence: ServerEvidence::default(),
             announced_at: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             pending_replies: HashMap::new(),
@@ -211,16 +212,7 @@
     pub fn handle_call(&mut self, now: Instant, call: CoreCall) {
         match call {
             CoreCall::Receive { from, message } => self.receive(now, from, *message),
-            CoreCall::Gossip { from, mut report } => {
-                let shares = std::mem::take(&mut report.shares);
-                self.shares.record_replica(now, from, shares);
-                self.hints.merge(now, std::mem::take(&mut report.hints));
-                if report.revision == self.changes.latest_revision() {
-                    let ids = server_ids(&self.state);
-                    self.loads.merge_sums(now, &ids, &report.loads);
-                }
-                self.liveness.merge_report(now, *report);
-            }
+            CoreCall::Gossip { from, report } => self.merge_report(now, from, *report),
             CoreCall::Disk(DiskReport::Synced { token, took }) => {
                 self.metrics.replica.record_sync(took);
                 self.handle_event(now, Event::Persisted { token });
@@ -517,11 +509,15 @@
         let host = &request.host.name;
         self.shares.record_host(now, host, &request.region, shares);
         let readings_fit = request.revision == Some(self.changes.latest_revision());
-        if readings_fit && !request.loads.is_empty() {
-            let ids = server_ids(&self.state);
-            self.loads.record_host(now, &ids, &request.loads);
+        let ids = readings_fit.then(|| server_ids(&self.state));
+        if let Some(ids) = &ids {
+            self.loads.record_host(now, ids, &request.loads);
+        }
+        let ids = ids.as_deref();
+        if self.evidence.record_host(now, &self.state, ids, &request) {
+            // The other replicas learn of a server that is leaving at once.
+            self.next_report = now;
         }
-        self.record_hints(now, std::mem::take(&mut request.leaving));
         if self.liveness.record_host(now, &request.host) {
             let host = &request.host;
             log::info!(
@@ -538,24 +534,18 @@
         self.follows.push(now, request, reply);
     }
 
-    /// Records backend servers that told an entry host that they are leaving. Those that the committed
-    /// state already holds back need no hint.
-    fn record_hints(&mut self, now: Instant, leaving: Vec<LeavingServer>) {
-        for server in leaving {
-            let record = self.state.server(&server.id);
-            let is_ready = record.is_some_and(|record| {
-                record.born == server.born && record.state == ServerState::Ready
-            });
-            if !is_ready {
-                continue;
-            }
-            let (id, born) = (server.id.clone(), server.born);
-            if self.hints.record(now, server) {
-                log::info!(target: "hosts", "server says that it is leaving; server={id} born={born}");
-                // The other replicas get the hint at once.
-                self.next_report = now;
-            }
-        }
+    /// Merges the observations of another replica.
+    fn merge_report(&mut self, now: Instant, from: ReplicaId, mut report: GossipReport) {
+        let shares = std::mem::take(&mut report.shares);
+        self.shares.record_replica(now, from, shares);
+        let readings_fit = report.revision == self.changes.latest_revision();
+        let ids = readings_fit.then(|| server_ids(&self.state));
+        if let Some(ids) = &ids {
+            self.loads.merge_sums(now, ids, &report.loads);
+        }
+        let ids = ids.as_deref();
+        self.evidence.merge_report(now, &self.state, ids, &report);
+        self.liveness.merge_report(now, report);
     }
 
     /// Updates the list of entry hosts that are alive.
@@ -569,8 +559,9 @@
     /// alone doesn't make a request outdated: it goes out with the next answer.
     fn answer_follows(&mut self, now: Instant) {
         let latest = self.changes.latest_revision();
+        self.evidence.refresh(now);
         let became_cold = self.liveness.take_became_cold();
-        let hinted = self.hints.take_changed();
+        let hinted = self.evidence.take_changed();
         if latest != self.checked_revision || became_cold || hinted {
             self.checked_revision = latest;
             self.follows.mark_changed();
@@ -584,8 +575,8 @@
         }
         let cold = self.liveness.cold(now);
         let cold_digest = liveness::cold_digest(now, self.started_at, &cold);
-        let hints = self.hints.current(now);
-        let hints_digest = hints::digest(&hints);
+        let hints = self.evidence.hints(now);
+        let hints_digest = hints::digest(now, self.started_at, &hints);
         let batch = self.follows.take_batch(now, |request| {
             request.revision != Some(latest)
                 || request.cold_digest != cold_digest
@@ -637,9 +628,10 @@
     fn queue_report(&mut self, now: Instant) {
         let mut report = self.liveness.take_report(now);
         report.shares = self.shares.report(now);
-        report.hints = self.hints.take_report(now);
         report.revision = self.changes.latest_revision();
-        report.loads = self.loads.take_sums(now, &server_ids(&self.state));
+        let ids = server_ids(&self.state);
+        report.loads = self.loads.take_sums(now, &ids);
+        self.evidence.fill_report(now, &ids, &mut report);
         if report.servers.is_empty() && report.hosts.is_empty() {
             return;
         }
@@ -689,6 +681,12 @@
             servers: self.state.servers().count(),
             hosts: hosts.cloned().collect(),
             evacuated: self.state.evacuated().cloned().collect(),
+            hinted: self
+                .evidence
+                .hints(now)
+                .iter()
+                .map(HintSummary::from)
+                .collect(),
             confirmed_ago_ms: self
                 .confirmed_at
                 .map(|confirmed_at| now.saturating_duration_since(confirmed_at).as_millis()),
--- a/crates/director/src/hints.rs
+++ b/crates/director/src/hints.rs
@@ -1,18 +1,17 @@
-//! Hints that backend servers are leaving, from the answers that entry hosts get.
+//! Hints about backend servers, from what entry hosts report.
 //!
-//! A hint lets other hosts shift their requests before the server is announced as draining. Only some
-//! hosts have heard of it, so it changes no committed state: hosts prefer other servers for a time.
+//! They change no committed state: only some hosts have seen what a hint says, and it may end at any
+//! time.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use fleet::ids;
+use fleet::hint::{HintKind, ServerHint, ServerIncarnation};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::message::{LeavingHint, LeavingServer};
-
-/// Time for which a hint holds. It covers the announcement of a server that is really leaving.
-const HINT_TTL: Duration = Duration::from_secs(10);
+/// Time for which a hint that a server is leaving holds. It covers the announcement of a server that
+/// is really leaving.
+const LEAVING_TTL: Duration = Duration::from_secs(10);
 
 #[derive(Debug)]
 struct HintEntry {
@@ -21,24 +20,29 @@
     unreported: bool,
 }
 
-/// Hints that are in force, by incarnation.
+/// Hints that backend servers are leaving.
 #[derive(Debug, Default)]
-pub struct HintTable {
-    entries: BTreeMap<(ids::ServerId, ids::StartTime), HintEntry>,
+pub struct LeavingTable {
+    entries: BTreeMap<ServerIncarnation, HintEntry>,
     /// Whether hints were added since this was last taken.
     changed: bool,
 }
 
-impl HintTable {
-    /// Records a hint that an entry host reported. Returns whether it is new.
-    pub fn record(&mut self, now: Instant, server: LeavingServer) -> bool {
-        self.insert(now, server, HINT_TTL, true)
+impl LeavingTable {
+    /// Records that a server told an entry host that it is leaving. Returns whether that is new.
+    pub fn record(&mut self, now: Instant, server: ServerIncarnation) -> bool {
+        self.insert(now, server, LEAVING_TTL, true)
     }
 
     /// Merges hints that another replica reported.
-    pub fn merge(&mut self, now: Instant, hints: Vec<LeavingHint>) {
+    pub fn merge(&mut self, now: Instant, hints: &[ServerHint]) {
         for hint in hints {
-            self.insert(now, hint.server, hint.remaining.min(HINT_TTL), false);
+            self.insert(
+                now,
+                hint.server.clone(),
+                hint.remaining.min(LEAVING_TTL),
+                false,
+            );
         }
     }
 
@@ -47,41 +51,39 @@
     fn insert(
         &mut self,
         now: Instant,
-        server: LeavingServer,
+        server: ServerIncarnation,
         remaining: Duration,
         unreported: bool,
     ) -> bool {
         self.evict(now);
-        let incarnation = (server.id, server.born);
-        if remaining.is_zero() || self.entries.contains_key(&incarnation) {
+        if remaining.is_zero() || self.entries.contains_key(&server) {
             return false;
         }
         let until = now + remaining;
-        self.entries
-            .insert(incarnation, HintEntry { until, unreported });
+        self.entries.insert(server, HintEntry { until, unreported });
         self.changed = true;
         true
     }
 
     /// Returns the hints that entry hosts reported to this replica since the previous call.
-    pub fn take_report(&mut self, now: Instant) -> Vec<LeavingHint> {
+    pub fn take_report(&mut self, now: Instant) -> Vec<ServerHint> {
         self.evict(now);
         let unreported = self.entries.iter_mut();
         let unreported = unreported.filter(|(_, entry)| entry.unreported);
         unreported
-            .map(|(incarnation, entry)| {
+            .map(|(server, entry)| {
                 entry.unreported = false;
-                hint(now, incarnation, entry)
+                leaving_hint(now, server, entry)
             })
             .collect()
     }
 
     /// Returns the hints that are in force.
-    pub fn current(&mut self, now: Instant) -> Vec<LeavingHint> {
+    pub fn current(&mut self, now: Instant) -> Vec<ServerHint> {
         self.evict(now);
         let entries = self.entries.iter();
         entries
-            .map(|(incarnation, entry)| hint(now, incarnation, entry))
+            .map(|(server, entry)| leaving_hint(now, server, entry))
             .collect()
     }
 
@@ -95,30 +97,28 @@
     }
 }
 
-fn hint(
-    now: Instant,
-    (id, born): &(ids::ServerId, ids::StartTime),
-    entry: &HintEntry,
-) -> LeavingHint {
-    LeavingHint {
-        server: LeavingServer {
-            id: id.clone(),
-            born: *born,
-        },
+fn leaving_hint(now: Instant, server: &ServerIncarnation, entry: &HintEntry) -> ServerHint {
+    ServerHint {
+        server: server.clone(),
+        kind: HintKind::Leaving,
         remaining: entry.until.saturating_duration_since(now),
     }
 }
 
-/// Returns the digest of a list of hints; 0 for an empty list.
-pub fn digest(hints: &[LeavingHint]) -> u64 {
+/// Returns the digest of a list of hints that is taken `now`; 0 for an empty list.
+///
+/// `origin` is any time that stays the same; the digest covers the ends of the hints counted from it.
+pub fn digest(now: Instant, origin: Instant, hints: &[ServerHint]) -> u64 {
     if hints.is_empty() {
         return 0;
     }
     let mut hasher = Xxh3::new();
     for hint in hints {
+        let end = (now + hint.remaining).saturating_duration_since(origin);
         hasher.update(hint.server.id.as_bytes());
-        hasher.update(&[0]);
+        hasher.update(&[0, hint.kind as u8]);
         hasher.update(&hint.server.born.to_le_bytes());
+        hasher.update(&end.as_nanos().to_le_bytes());
     }
     hasher.digest() | 1
 }
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -12,9 +12,11 @@
 //! | [`core`] | consensus, replicated state, liveness, answers to entry hosts |
 //! | [`liveness`] | failure detection |
 //! | [`directory`] | choice of the entry hosts for a client |
-//! | [`hints`] | hints that backend servers are leaving |
+//! | [`evidence`] | reports about backend servers, and the hints that follow |
+//! | [`hints`] | hints about backend servers |
 //! | [`loads`] | mean loads of the backend servers |
 //! | [`shares`] | mean spill shares of the regions |
+//! | [`outages`] | detection of backend servers that don't answer |
 //! | [`mesh`] | client for calls to other processes |
 //! | [`service`] | server for calls from other processes |
 //! | [`handle`] | calls of the process's own listeners |
@@ -26,6 +28,7 @@
 pub mod core;
 pub mod daemon;
 pub mod directory;
+pub mod evidence;
 pub mod follow;
 pub mod handle;
 pub mod hints;
@@ -35,6 +38,7 @@
 pub mod mesh;
 pub mod message;
 pub mod metrics;
+pub mod outages;
 pub mod service;
 pub mod settings;
 pub mod shares;
--- a/crates/director/src/message.rs
+++ b/crates/director/src/message.rs
@@ -5,6 +5,7 @@
 
 use fleet::change::FleetUpdate;
 use fleet::command::{CommandOutcome, FleetCommand};
+use fleet::hint::{ServerHint, ServerIncarnation};
 use fleet::ids;
 use quorum::ids::ReplicaId;
 use quorum::message::Message;
@@ -179,23 +180,17 @@
     }
 }
 
-/// Incarnation of a backend server that says in its answers that it is leaving.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeavingServer {
-    /// Id of the server.
-    pub id: ids::ServerId,
-    /// Start time, which identifies the incarnation.
-    pub born: ids::StartTime,
-}
+/// Identifies an entry host in reports.
+pub type ReporterHash = u64;
 
-/// Hint that a backend server is leaving. Entry hosts that haven't heard it from the server itself
-/// prefer other servers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeavingHint {
-    /// The server.
-    pub server: LeavingServer,
-    /// Time for which the hint still holds.
-    pub remaining: Duration,
+/// Report of an entry host that got no answer from a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnansweredReport {
+    /// Index of the backend server in the list of all, ordered by id, at the revision of the
+    /// message.
+    pub server_index: u32,
+    /// Identifies the entry host.
+    pub reporter: ReporterHash,
 }
 
 /// A long poll of an entry host for the changes after its copy.
@@ -213,7 +208,10 @@
     /// those at `revision`.
     pub loads: Vec<LoadReading>,
     /// Backend servers that told the entry host since its last call that they are leaving.
-    pub leaving: Vec<LeavingServer>,
+    pub leaving: Vec<ServerIncarnation>,
+    /// Indexes of the backend servers, at `revision`, that left an attempt since the entry host's last
+    /// call without an answer in time, and have answered none since.
+    pub unanswered: Vec<u32>,
     /// Digest of the caller's list of entry hosts.
     pub hosts_digest: u64,
     /// Digest of the caller's list of cold backend servers.
@@ -238,8 +236,8 @@
     pub cold: Option<Vec<(ids::ServerId, Duration)>>,
     /// Digest of the replica's list of cold backend servers.
     pub cold_digest: u64,
-    /// Hints that backend servers are leaving; `None` where the caller's list is the same.
-    pub hints: Option<Vec<LeavingHint>>,
+    /// Hints about backend servers; `None` where the caller's list is the same.
+    pub hints: Option<Vec<ServerHint>>,
     /// Digest of the replica's list of hints.
     pub hints_digest: u64,
     /// Update of the caller's list of the entry hosts that are alive.
@@ -283,12 +281,14 @@
     pub servers: Vec<ServerLiveness>,
     /// Entry hosts that called.
     pub hosts: Vec<HostLiveness>,
-    /// Hints that entry hosts reported.
-    pub hints: Vec<LeavingHint>,
+    /// Hints that servers are leaving, which entry hosts reported.
+    pub leaving: Vec<ServerHint>,
     /// Sums of the shares that entry hosts reported.
     pub shares: Vec<SpillShareSum>,
     /// Revision at which the indexes in `loads` are valid.
     pub revision: ids::Revision,
     /// Sums of the loads that entry hosts reported.
     pub loads: Vec<LoadSum>,
+    /// Reports of unanswered attempts; the indexes are those at `revision`.
+    pub unanswered: Vec<UnansweredReport>,
 }
--- a/crates/director/tests/follow.rs
+++ b/crates/director/tests/follow.rs
@@ -22,6 +22,7 @@
         revision: Some(revision),
         loads: Vec::new(),
         leaving: Vec::new(),
+        unanswered: Vec::new(),
         hosts_digest: 0,
         cold_digest: 0,
         hints_digest: 0,
--- a/crates/director/tests/restart.rs
+++ b/crates/director/tests/restart.rs
@@ -89,6 +89,7 @@
             revision: None,
             loads: Vec::new(),
             leaving: Vec::new(),
+            unanswered: Vec::new(),
             hosts_digest: 0,
             cold_digest: 0,
             hints_digest: 0,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! | module | holds |
 //! |---|---|
+//! | [`hint`] | hints about backend servers |
 //! | [`ids`] | names and numbers |
 //! | [`site`] | the validated configuration: virtual hosts, routes, services, limits |
 //! | [`server`] | the record that a backend server announces |
@@ -15,6 +16,7 @@
 
 pub mod change;
 pub mod command;
+pub mod hint;
 pub mod ids;
 pub mod server;
 pub mod site;
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::hint::ServerIncarnation;
 use crate::ids;
 
 /// Whether a backend server accepts new requests.
@@ -44,6 +45,14 @@
 }
 
 impl ServerRecord {
+    /// Returns the id and the start time.
+    pub fn incarnation(&self) -> ServerIncarnation {
+        ServerIncarnation {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+
     /// Returns whether this incarnation started after another one with the given start time.
     pub fn started_after(&self, other: ids::StartTime) -> bool {
         self.born > other
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -93,17 +93,17 @@
             .record_request(&request.service);
         let mut progress = ForwardProgress::default();
         let mut running = FuturesUnordered::new();
-        let Some(hedge_after) = self.start_attempt(request, &mut progress, &mut running) else {
+        let Some(late_after) = self.start_attempt(request, &mut progress, &mut running) else {
             return ForwardEnd::Host(self.refusal(request, &progress));
         };
         let deadline = tokio::time::sleep_until(request.deadline.into());
         let mut deadline = std::pin::pin!(deadline);
-        let mut hedge = Box::pin(tokio::time::sleep(hedge_after));
-        let mut may_hedge = request.is_safe();
+        let mut late = Box::pin(tokio::time::sleep(late_after));
+        let mut may_be_late = true;
         loop {
             let event = {
-                let timer = if may_hedge {
-                    Either::Left(hedge.as_mut())
+                let timer = if may_be_late {
+                    Either::Left(late.as_mut())
                 } else {
                     Either::Right(future::pending::<()>())
                 };
@@ -111,14 +111,16 @@
                 match future::select(running.next(), timers).await {
                     Either::Left((done, _)) => ForwardEvent::Done(done),
                     Either::Right((Either::Left(_), _)) => ForwardEvent::Deadline,
-                    Either::Right((Either::Right(_), _)) => ForwardEvent::Hedge,
+                    Either::Right((Either::Right(_), _)) => ForwardEvent::Late,
                 }
             };
             match event {
                 ForwardEvent::Deadline => return ForwardEnd::Host(HostAnswer::TimedOut),
-                ForwardEvent::Hedge => {
-                    may_hedge = false;
-                    if self.try_withdraw_retry(request, &progress)
+                ForwardEvent::Late => {
+                    may_be_late = false;
+                    self.record_late(&progress);
+                    if request.is_safe()
+                        && self.try_withdraw_retry(request, &progress)
                         && self
                             .start_attempt(request, &mut progress, &mut running)
                             .is_none()
@@ -134,8 +136,8 @@
                     if may_retry {
                         let reached = progress.reached > 0;
                         match self.start_attempt(request, &mut progress, &mut running) {
-                            Some(hedge_after) => {
-                                hedge = Box::pin(tokio::time::sleep(hedge_after));
+                            Some(late_after) => {
+                                late = Box::pin(tokio::time::sleep(late_after));
                             }
                             None if reached => self.refund_retry(request),
                             None => {}
@@ -150,8 +152,15 @@
         }
     }
 
-    /// Starts an attempt at the backend server that the balancer chooses. Returns the delay of a
-    /// hedge, or `None` if the balancer refuses the request.
+    /// Records that the only running attempt, which is the latest one, is late.
+    fn record_late(&self, progress: &ForwardProgress) {
+        if let Some(key) = progress.tried.last() {
+            self.sender.state.balancer().record_late(*key);
+        }
+    }
+
+    /// Starts an attempt at the backend server that the balancer chooses. Returns the time after which
+    /// it counts as late, or `None` if the balancer refuses the request.
     fn start_attempt<'a>(
         &'a self,
         request: &'a ForwardRequest,
@@ -179,12 +188,12 @@
         };
         let max_delay = request.remaining(now).mul_f64(MAX_HEDGE_DELAY_SHARE);
         let delay = chosen.forecast.expected().mul_f64(HEDGE_DELAY_FACTOR);
-        let hedge_after = delay.max(MIN_HEDGE_DELAY).min(max_delay);
+        let late_after = delay.max(MIN_HEDGE_DELAY).min(max_delay);
         progress.tried.push(chosen.key);
         let guard = AttemptGuard::new(&self.sender, chosen, request);
         let attempt = async move { self.sender.send(request, guard).await };
         running.push(attempt.boxed());
-        Some(hedge_after)
+        Some(late_after)
     }
 
     /// Records the result of an attempt. Returns the end of the request if the result is final.
@@ -322,8 +331,8 @@
 enum ForwardEvent {
     /// An attempt ended; `None` if no attempt is running.
     Done(Option<AttemptResult>),
-    /// The delay of the hedge is over.
-    Hedge,
+    /// The running attempt is late, so that a hedge is due.
+    Late,
     /// The deadline passed.
     Deadline,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,8 +11,9 @@
 use balance::settings::BalanceSettings;
 use clock::pause;
 use director::hosts::{self, HostsByName};
-use director::message::{FollowReply, LeavingServer, LoadReading, SpillShare};
+use director::message::{FollowReply, LoadReading, SpillShare};
 use fleet::change::{FleetUpdate, FleetView};
+use fleet::hint::ServerIncarnation;
 use fleet::ids;
 use fleet::site::{RouteSpec, SiteConfig};
 use serde::Serialize;
@@ -143,11 +144,16 @@
     }
 
     /// Takes the backend servers that told this host since the last call that they are leaving.
-    pub fn take_leaving(&self) -> Vec<LeavingServer> {
-        let leaving = self.balancer().take_leaving().into_iter();
-        leaving
-            .map(|(id, born)| LeavingServer { id, born })
-            .collect()
+    pub fn take_leaving(&self) -> Vec<ServerIncarnation> {
+        self.balancer().take_leaving()
+    }
+
+    /// Takes the backend servers, by their position, that left an attempt since the last call without an
+    /// answer in time, and have answered none since.
+    pub fn take_unanswered(&self) -> Vec<u32> {
+        let mut balancer = self.balancer();
+        let unanswered = balancer.take_unanswered();
+        unanswered.map(|position| position as u32).collect()
     }
 
     /// Returns the spill shares of the services, to be shared with the other hosts.
@@ -250,9 +256,8 @@
         if followed.versions.revision == Some(reply.loads.revision) {
             balancer.set_shared_loads(now, reply.loads.means());
         }
-        for hint in reply.hints.iter().flatten() {
-            let server = &hint.server;
-            balancer.set_hint(now, &server.id, server.born, hint.remaining);
+        if let Some(hints) = &reply.hints {
+            balancer.set_hints(now, hints);
         }
         followed.versions.cold_digest = reply.cold_digest;
         followed.versions.hints_digest = reply.hints_digest;
