feat(balance,gateway): a host that is cut off from a zone leaves it alone

Ejecting single servers doesn't help, as a zone has 50 and more.

Change: balance::reach. Three different servers of a zone without a connection, and no answer of the zone in between, make it cut off: it gets nothing for 1, 2, then 4 s, then one request at a time until one is answered. Its slots don't count for the region, so a host without its own region sends to the others. If no zone is left, requests are refused at once, with the time until the next probe. Refused connections are told apart from those that don't come about (end `refused`): the zone is reached then.

Ruled out: the control replicas' view (all hosts confirmed their state, and the zones' other hosts reach the servers); hints by other hosts, which do reach them; late answers as a sign, as in the first seconds all answers are late.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -13,7 +13,8 @@
 
 use crate::group::{ServiceGroup, INITIAL_PROCESSING_TIME};
 use crate::notice::{NoticeTable, ServerNotice};
-use crate::query::{AttemptReport, ChosenServer, LoadRefusal, ServerKey, ServerQuery};
+use crate::query::{AttemptReport, ChosenServer, LoadRefusal, ServerKey, ServerQuery, ZoneKey};
+use crate::reach::ZoneReach;
 use crate::server::{AttemptEnd, TrackedServer};
 use crate::settings::BalanceSettings;
 
@@ -26,6 +27,9 @@
     pub(crate) settings: BalanceSettings,
     pub(crate) region: ids::RegionName,
     pub(crate) servers: SlotMap<ServerKey, TrackedServer>,
+    /// Whether this host reaches the zones of the servers.
+    pub(crate) zones: SlotMap<ZoneKey, ZoneReach>,
+    zone_keys: HashMap<ids::ZoneName, ZoneKey>,
     /// Keys by server id. Hosts share loads by the position of a server in this order.
     pub(crate) keys: BTreeMap<ids::ServerId, ServerKey>,
     pub(crate) groups: HashMap<ids::ServiceName, ServiceGroup>,
@@ -57,6 +61,8 @@
             region: settings.region(&settings.zone).to_string(),
             settings,
             servers: SlotMap::with_key(),
+            zones: SlotMap::with_key(),
+            zone_keys: HashMap::new(),
             keys: BTreeMap::new(),
             groups: HashMap::new(),
             specs: HashMap::new(),
@@ -190,6 +196,7 @@
         }
         let server = &mut self.servers[best.key];
         server.begin_request();
+        self.zones[server.zone].begin_request(best.key);
         Ok(ChosenServer {
             key: best.key,
             record: server.record.clone(),
@@ -201,14 +208,30 @@
     /// Ends an attempt at the backend server that was chosen for it, and updates the server's load,
     /// health and processing times from the report.
     ///
-    /// A report for a server that is gone is ignored.
-    pub fn finish(&mut self, now: Instant, key: ServerKey, report: AttemptReport) {
+    /// A report for a server that is gone is ignored. Returns whether the server's zone counts as cut
+    /// off from now on.
+    pub fn finish(&mut self, now: Instant, key: ServerKey, report: AttemptReport) -> bool {
         let Some(server) = self.servers.get_mut(key) else {
-            return;
+            return false;
         };
         server.finish_request(now, report.end, report.load);
+        let zone = &mut self.zones[server.zone];
+        zone.end_request(key);
+        let is_cut_off = match report.end {
+            AttemptEnd::Unreachable => zone.record_unreached(now, key),
+            AttemptEnd::Answered | AttemptEnd::Failed | AttemptEnd::Shed => {
+                zone.record_answer();
+                false
+            }
+            AttemptEnd::Refused
+            | AttemptEnd::Misdirected
+            | AttemptEnd::Broken
+            | AttemptEnd::Oversized
+            | AttemptEnd::Withdrawn
+            | AttemptEnd::Dropped => false,
+        };
         let Some(group) = self.groups.get_mut(&server.record.service) else {
-            return;
+            return is_cut_off;
         };
         let forecast = report.forecast;
         let took = (report.took.as_secs_f64() - forecast.round_trip).max(0.0);
@@ -230,6 +253,7 @@
             }
             _ => {}
         }
+        is_cut_off
     }
 
     /// Returns whether a backend server that was chosen may still get the request: it is in the view
@@ -332,7 +356,8 @@
         self.remove_server(&record.id);
         let (id, service) = (record.id.clone(), record.service.clone());
         let region = self.settings.region(&record.zone).to_string();
-        let mut server = TrackedServer::new(record, region);
+        let zone = self.zone_key(&record.zone);
+        let mut server = TrackedServer::new(record, region, zone);
         server.evacuated = self.evacuated.contains(&server.record.zone);
         server.set_notices(self.notices.state(&server.record));
         let key = self.servers.insert(server);
@@ -340,6 +365,16 @@
         self.group_mut(&service).servers.push(key);
     }
 
+    /// Returns the key of a zone, which is added if it is new.
+    fn zone_key(&mut self, zone: &str) -> ZoneKey {
+        if let Some(key) = self.zone_keys.get(zone) {
+            return *key;
+        }
+        let key = self.zones.insert(ZoneReach::default());
+        self.zone_keys.insert(zone.to_string(), key);
+        key
+    }
+
     fn remove_server(&mut self, id: &str) {
         let Some(key) = self.keys.remove(id) else {
             return;
--- a/crates/balance/src/candidate.rs
+++ b/crates/balance/src/candidate.rs
@@ -157,6 +157,7 @@
                 && server.accepts_requests()
                 && !server.is_ejected(now)
                 && !server.is_resting(now)
+                && self.zones[server.zone].is_open(now)
                 && !query.tried.contains(key);
             if !is_usable {
                 continue;
@@ -366,8 +367,8 @@
         }
     }
 
-    /// Returns the time until the first of the backend servers that rest, or are cold and have used up
-    /// their rate, is a candidate again, and which of both it is.
+    /// Returns the time until the first of the backend servers that rest, aren't reached, or are cold and
+    /// have used up their rate, is a candidate again, and which of these it is.
     fn shortest_wait(
         &self,
         now: Instant,
@@ -383,8 +384,12 @@
                 return None;
             }
             let cold = self.cold_wait(now, server)?;
+            let unreached = self.zones[server.zone].wait(now);
             match server.rest_left(now) {
-                Some(rest) => Some((rest.max(cold), RefusalCause::Resting)),
+                Some(rest) => Some((rest.max(cold).max(unreached), RefusalCause::Resting)),
+                None if !unreached.is_zero() => {
+                    Some((unreached.max(cold), RefusalCause::Unreachable))
+                }
                 None if cold.is_zero() => None,
                 None => Some((cold, RefusalCause::Full)),
             }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -15,7 +15,8 @@
 //! | [`settings`] | limits, and the location of the host |
 //!
 //! Within the crate, `group` holds the servers and processing times of a service, `region` compares
-//! the load of this host's region with that of the other regions, `candidate` computes the cost of
+//! the load of this host's region with that of the other regions, `reach` tells which zones this host
+//! reaches, `candidate` computes the cost of
 //! the candidates for a request, and `decay` reduces the weight of old observations.
 
 pub mod balancer;
@@ -25,6 +26,7 @@
 mod group;
 pub mod notice;
 pub mod query;
+mod reach;
 mod region;
 pub mod server;
 pub mod settings;
--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -12,6 +12,11 @@
     pub struct ServerKey;
 }
 
+slotmap::new_key_type! {
+    /// Key of an availability zone.
+    pub(crate) struct ZoneKey;
+}
+
 /// Processing time of a slow request, as a multiple of the expected one.
 const SLOW_REQUEST_FACTOR: f64 = 1.3;
 
@@ -103,6 +108,8 @@
     NoServer,
     /// The service has no candidate, but a backend server that asked for a rest will be one.
     Resting,
+    /// This host reaches no zone with a candidate.
+    Unreachable,
     /// No candidate can answer in time, or the chosen one is cold and its rate limit is reached.
     Full,
 }
--- a/crates/balance/src/region.rs
+++ b/crates/balance/src/region.rs
@@ -78,7 +78,8 @@
         let mut loads = [RegionLoad::default(); 2];
         for key in keys.into_iter().flatten() {
             let server = &self.servers[*key];
-            if !server.accepts_requests() || server.is_ejected(now) {
+            let reached = self.zones[server.zone].is_open(now);
+            if !reached || !server.accepts_requests() || server.is_ejected(now) {
                 continue;
             }
             let load = &mut loads[usize::from(server.region != self.region)];
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -11,6 +11,7 @@
 
 use crate::decay;
 use crate::notice::NoticeState;
+use crate::query::ZoneKey;
 
 /// Half-life of the weight of a load report.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
@@ -73,8 +74,10 @@
     Shed,
     /// Another backend server has the address and rejected the request.
     Misdirected,
-    /// The connection couldn't be opened, or the request couldn't be sent.
+    /// No connection came about within the time limit, or there is no route to the server.
     Unreachable,
+    /// The connection was refused, or closed before the request was sent.
+    Refused,
     /// The connection broke after the request was sent, or the answer was invalid.
     Broken,
     /// The answer exceeded a size limit.
@@ -107,6 +110,8 @@
     pub record: ServerRecord,
     /// Region of the server's zone.
     pub region: ids::RegionName,
+    /// Key of the server's zone.
+    pub(crate) zone: ZoneKey,
     /// Whether the server's zone is evacuated.
     pub evacuated: bool,
     /// Whether this host is the only one that sends requests to the server while it is cold or probably
@@ -149,10 +154,11 @@
 
 impl TrackedServer {
     /// Creates the state of a backend server that was just announced.
-    pub fn new(record: ServerRecord, region: ids::RegionName) -> Self {
+    pub(crate) fn new(record: ServerRecord, region: ids::RegionName, zone: ZoneKey) -> Self {
         Self {
             record,
             region,
+            zone,
             evacuated: false,
             designated: Cell::new(None),
             notices: NoticeState::default(),
@@ -377,7 +383,9 @@
             AttemptEnd::Answered | AttemptEnd::Failed | AttemptEnd::Shed => {
                 self.unanswered = false;
             }
-            AttemptEnd::Unreachable | AttemptEnd::Misdirected => self.record_unanswered(),
+            AttemptEnd::Unreachable | AttemptEnd::Refused | AttemptEnd::Misdirected => {
+                self.record_unanswered();
+            }
             AttemptEnd::Broken
             | AttemptEnd::Oversized
             | AttemptEnd::Withdrawn
@@ -412,7 +420,7 @@
                     self.failure_rate = EJECTION_FAILURE_RATE / 2.0;
                 }
             }
-            AttemptEnd::Unreachable | AttemptEnd::Oversized => {
+            AttemptEnd::Unreachable | AttemptEnd::Refused | AttemptEnd::Oversized => {
                 self.record_failure(1.0);
                 self.eject(now);
             }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at one backend server.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,7 +16,7 @@
 
 use crate::buffer::{BufferBudget, BufferError};
 use crate::metrics::GatewayMetrics;
-use crate::pool::{self, ServerConnection, ServerPool};
+use crate::pool::{self, ConnectError, ServerConnection, ServerPool};
 use crate::request::{self, ForwardRequest};
 use crate::settings::HeaderNames;
 use crate::state::GatewayState;
@@ -97,7 +98,13 @@
             object: self.object,
             forecast: chosen.forecast,
         };
-        self.state.balancer().finish(now, chosen.key, report);
+        if self.state.balancer().finish(now, chosen.key, report) {
+            log::info!(
+                target: "server",
+                "no server of the zone is reached, leaving it alone; zone={}",
+                chosen.record.zone
+            );
+        }
         self.metrics.record_attempt(end, took);
         let reported = load.map_or(-1, |load| i64::from(load.running + load.waiting));
         log::info!(
@@ -168,7 +175,7 @@
         };
         let mut connection = match self.pool.acquire(address, max_idle).await {
             Ok(connection) => connection,
-            Err(e) => return not_run(AttemptEnd::Unreachable, false, None, e.to_string()),
+            Err(e) => return not_run(connect_end(&e), false, None, e.to_string()),
         };
         guard.reused = Some(connection.reused);
         let now = Instant::now();
@@ -193,7 +200,7 @@
                 let unsent = error.take_message().is_some();
                 let error = error.into_error();
                 if unsent {
-                    return not_run(AttemptEnd::Unreachable, false, None, error.to_string());
+                    return not_run(AttemptEnd::Refused, false, None, error.to_string());
                 }
                 if error.is_parse_too_large() || connection.http.is_exhausted() {
                     return oversized("a head without end");
@@ -331,6 +338,20 @@
     }
 }
 
+/// Returns how an attempt ended for which no connection could be opened.
+fn connect_end(error: &ConnectError) -> AttemptEnd {
+    match error {
+        ConnectError::Timeout => AttemptEnd::Unreachable,
+        ConnectError::Io(e) => match e.kind() {
+            ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable | ErrorKind::TimedOut => {
+                AttemptEnd::Unreachable
+            }
+            _ => AttemptEnd::Refused,
+        },
+        ConnectError::Http(_) => AttemptEnd::Refused,
+    }
+}
+
 fn not_run(
     end: AttemptEnd,
     reached: bool,
