feat(cli): explain what became of a request, from the logs of all processes

wisteria explain ID PATH... reads logs in JSON, from files or folders of files, with or without the name of the process before each line. It puts the request's lines on all hosts in order, tells in sentences which attempts were made and why a server wasn't taken, adds what was logged about its backend servers in the minute before, with the age at the attempt, and the events of control replicas and of its hosts around it. Events that several processes log alike are shown once, those about other servers are counted. Lines with the id that can't be read are counted, too.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -86,6 +86,13 @@
     Status,
     /// Shows the whole state of one process.
     Dump(SocketAddr),
+    /// Shows what became of a request, from the logs of the processes.
+    Explain {
+        /// Id of the request.
+        request: String,
+        /// Log files, and folders with log files.
+        logs: Vec<PathBuf>,
+    },
     /// Shows the help text.
     Help,
     /// Shows the version.
@@ -95,7 +102,10 @@
 impl ClientCommand {
     /// Returns whether the command calls other processes.
     fn is_remote(&self) -> bool {
-        !matches!(self, Self::Check { .. } | Self::Help | Self::Version)
+        !matches!(
+            self,
+            Self::Check { .. } | Self::Explain { .. } | Self::Help | Self::Version
+        )
     }
 }
 
@@ -237,6 +247,9 @@
         "dump" => operands
             .parse_one("ADDRESS", SettingReader::address)
             .map(ClientCommand::Dump),
+        "explain" => operands
+            .first_and_files("ID")
+            .map(|(request, logs)| ClientCommand::Explain { request, logs }),
         _ => {
             operands.add_fault("command", name, COMMAND_RULE);
             None
@@ -283,6 +296,16 @@
         Some(self.operands.iter().map(PathBuf::from).collect())
     }
 
+    /// Parses an operand that is followed by files.
+    fn first_and_files(&mut self, field: &str) -> Option<(String, Vec<PathBuf>)> {
+        let Some((first, files)) = self.operands.split_first() else {
+            self.add_fault(field, "", "exactly one, before the files");
+            return None;
+        };
+        self.operands = files;
+        Some((first.clone(), self.files()?))
+    }
+
     fn parse_one<T>(&mut self, field: &str, parse: SettingParser<T>) -> Option<T> {
         let operand = self.exactly_one(field)?;
         match parse(&operand) {
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -14,6 +14,8 @@
   ticket NUMBER            shows one ticket's verdict
   status                   shows the replicas and entry hosts, and the revision in force on each
   dump ADDRESS             shows the whole state of the process at ADDRESS as JSON
+  explain ID PATH...       shows what became of the request ID, from logs in JSON; a PATH is a file,
+                           or a folder of files
 
 Flags of submit:
   --dry-run                shows the verdict that the ticket would get, without submitting it
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,8 @@
 //! | [`check`] | offline validation of ticket files |
 //! | [`client`] | HTTP client for control replicas and entry hosts |
 //! | [`preview`] | the verdict that a ticket would get |
+//! | [`logs`] | reading of the log lines of processes |
+//! | [`explain`] | what became of a request, from the logs |
 //! | [`report`] | results of commands |
 //! | [`run`] | execution of commands |
 //! | [`render`] | formatting of reports as tables or JSON |
@@ -22,7 +24,9 @@
 pub mod client;
 pub mod error;
 pub mod exit;
+pub mod explain;
 pub mod help;
+pub mod logs;
 pub mod preview;
 pub mod render;
 pub mod report;
--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -4,10 +4,14 @@
 
 use crate::args::ReportFormat;
 use crate::check::FileCheck;
+use crate::explain::{ExplainedLine, RequestExplanation};
 use crate::report::{
     CommandReport, HostRow, ObjectRow, ReplicaRow, StatusReport, SubmitReport, TicketRow,
 };
 
+/// Fields of log lines that an explanation leaves out.
+const HIDDEN_FIELDS: [&str; 2] = ["level", "request"];
+
 /// Formats a report as text that ends with a newline.
 pub fn render(report: &CommandReport, format: ReportFormat) -> String {
     if format == ReportFormat::Json {
@@ -26,10 +30,62 @@
         } => render_objects(*revision, digest, objects),
         CommandReport::Tickets { tickets } => render_tickets(tickets),
         CommandReport::Status(report) => render_status(report),
+        CommandReport::Explanation(explanation) => render_explanation(explanation),
         CommandReport::Dump { state } => pretty_json(state),
     }
 }
 
+fn render_explanation(explanation: &RequestExplanation) -> String {
+    let mut text = format!("request {}\n", explanation.request);
+    for sentence in &explanation.summary {
+        // Writing to a string never fails.
+        let _ = writeln!(text, "  {sentence}");
+    }
+    let sections = [
+        ("its lines", &explanation.lines),
+        ("lines about its backend servers", &explanation.servers),
+        ("events around it", &explanation.events),
+    ];
+    for (title, lines) in sections {
+        if lines.is_empty() {
+            continue;
+        }
+        let _ = writeln!(text, "\n{title}, by milliseconds since its start:");
+        for line in lines {
+            text.push_str(&render_explained_line(line));
+        }
+    }
+    for (message, count) in &explanation.other_servers {
+        let _ = writeln!(
+            text,
+            "{count:>8}  times about other backend servers: {message}"
+        );
+    }
+    if explanation.omitted_events > 0 {
+        let _ = writeln!(text, "{} later events left out", explanation.omitted_events);
+    }
+    if explanation.unreadable_lines > 0 {
+        let count = explanation.unreadable_lines;
+        let _ = writeln!(text, "{count} lines with the id can't be read as JSON");
+    }
+    text
+}
+
+fn render_explained_line(line: &ExplainedLine) -> String {
+    let others = match line.others {
+        0 => String::new(),
+        others => format!(" and {others} more"),
+    };
+    let (offset, source, part) = (line.offset_ms, &line.source, &line.part);
+    let mut text = format!("{offset:>8}  {source}{others}  {part}: {}", line.message);
+    let fields = line.fields.iter();
+    for (name, value) in fields.filter(|(name, _)| !HIDDEN_FIELDS.contains(&name.as_str())) {
+        let _ = write!(text, " {name}={value}");
+    }
+    text.push('\n');
+    text
+}
+
 fn render_json(report: &CommandReport) -> String {
     let value = match report {
         CommandReport::Dump { state } => state.clone(),
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -9,6 +9,7 @@
 
 use crate::check::FileCheck;
 use crate::exit::ExitStatus;
+use crate::explain::RequestExplanation;
 
 /// Result of a command.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -44,6 +45,8 @@
     },
     /// Status of the control replicas and entry hosts.
     Status(StatusReport),
+    /// What became of a request.
+    Explanation(RequestExplanation),
     /// Whole state of one process.
     Dump {
         /// State as returned by the process.
@@ -64,7 +67,7 @@
             }
             Self::Preview { verdict, .. } => verdict.is_accepted(),
             Self::Objects { objects, .. } => !objects.is_empty(),
-            Self::Tickets { .. } | Self::Dump { .. } => true,
+            Self::Tickets { .. } | Self::Explanation(_) | Self::Dump { .. } => true,
             Self::Status(report) => {
                 if !report.is_confirmed() {
                     return ExitStatus::Unknown;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -18,6 +18,7 @@
 use crate::check;
 use crate::client::ControlClient;
 use crate::error::ClientError;
+use crate::explain;
 use crate::preview;
 use crate::report::{
     CommandReport, HostRow, ObjectRow, ReplicaRow, StatusReport, SubmitReport, TicketRow,
@@ -66,6 +67,10 @@
             let state = client.query_at(address, "/v1/dump").await?;
             Ok(CommandReport::Dump { state })
         }
+        ClientCommand::Explain { request, logs } => {
+            let explanation = explain::explain(&request, &logs)?;
+            Ok(CommandReport::Explanation(explanation))
+        }
         // `main` handles these commands, so that this arm is not reached.
         ClientCommand::Help | ClientCommand::Version => {
             Ok(CommandReport::Dump { state: Value::Null })
