--- a/crates/quorum/tests/explorer.rs
+++ b/crates/quorum/tests/explorer.rs
@@ -13,23 +13,29 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use support::cluster::CheckResult;
-use support::explorer::{explore, explore_members};
+use support::explorer::{explore, explore_bridges, explore_members};
 
 const SCHEDULES: u64 = 10_000;
+const BRIDGE_SCHEDULES: u64 = 3_000;
 const STEPS: usize = 400;
 const THREADS: usize = 4;
 
 #[test]
 fn invariants_hold_over_ten_thousand_schedules() {
-    run_all(|seed| explore(seed, STEPS, None));
+    run_all(SCHEDULES, |seed| explore(seed, STEPS, None));
 }
 
 #[test]
 fn invariants_hold_while_replicas_join_and_are_replaced() {
-    run_all(|seed| explore_members(seed, STEPS, None));
+    run_all(SCHEDULES, |seed| explore_members(seed, STEPS, None));
 }
 
-fn run_all(explore: impl Fn(u64) -> CheckResult + Sync) {
+#[test]
+fn invariants_hold_while_groups_reach_each_other_only_through_others() {
+    run_all(BRIDGE_SCHEDULES, |seed| explore_bridges(seed, STEPS, None));
+}
+
+fn run_all(schedules: u64, explore: impl Fn(u64) -> CheckResult + Sync) {
     let first = std::env::var("EXPLORER_SEED").map_or(0, |seed| seed.parse().unwrap());
     let next = AtomicU64::new(first);
     let violations = std::sync::Mutex::new(Vec::new());
@@ -37,7 +43,7 @@
         for _ in 0..THREADS {
             scope.spawn(|| loop {
                 let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= first + SCHEDULES {
+                if seed >= first + schedules {
                     break;
                 }
                 if let Err(error) = explore(seed) {
--- a/crates/quorum/tests/support/cluster.rs
+++ b/crates/quorum/tests/support/cluster.rs
@@ -213,6 +213,24 @@
         }
     }
 
+    /// Cuts two groups of replicas off from each other, or only the messages from the first to the
+    /// second. All others reach both groups.
+    pub fn cut_groups(
+        &mut self,
+        first: &[ids::ReplicaId],
+        second: &[ids::ReplicaId],
+        one_way: bool,
+    ) {
+        for from in first {
+            for to in second {
+                self.blocked.insert((*from, *to));
+                if !one_way {
+                    self.blocked.insert((*to, *from));
+                }
+            }
+        }
+    }
+
     /// Returns whether all other replicas are admitted and have their disks, so that one disk may
     /// be lost.
     pub fn may_lose_disk(&self, id: ids::ReplicaId) -> bool {
--- a/crates/quorum/tests/support/explorer.rs
+++ b/crates/quorum/tests/support/explorer.rs
@@ -79,6 +79,40 @@
     cluster.converge()
 }
 
+/// Runs one schedule in which two groups of five replicas often don't reach each other, in one or both
+/// directions, while the others reach both.
+pub fn explore_bridges(seed: u64, steps: usize, fault: Option<InjectedFault>) -> CheckResult {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut cluster = SimulatedCluster::new(5, seed ^ 0xb41d, fault);
+    let rates = FaultRates::draw(&mut random);
+    cluster.bootstrap();
+    for id in cluster.ids() {
+        cluster.start(id);
+    }
+    cluster.conditions.drop_probability = random.random_range(0.0..0.1);
+    cluster.conditions.max_sync_time = Duration::from_millis(random.random_range(0..80));
+    for step in 0..steps {
+        cluster.step()?;
+        if random.random_bool(0.02) {
+            cluster.heal();
+            cut_random_groups(&mut cluster, &mut random);
+        }
+        inject_faults(&mut cluster, &rates, &mut random)?;
+        send_request(&mut cluster, step, &mut random)?;
+    }
+    cluster.converge()
+}
+
+/// Assigns each replica to one of two groups, or to those that reach both, and cuts the groups.
+fn cut_random_groups(cluster: &mut SimulatedCluster, random: &mut SmallRng) {
+    let mut groups = [Vec::new(), Vec::new(), Vec::new()];
+    for id in cluster.ids() {
+        groups[random.random_range(0..groups.len())].push(id);
+    }
+    let [first, second, _] = groups;
+    cluster.cut_groups(&first, &second, random.random_bool(0.3));
+}
+
 /// Runs one schedule in which three replicas bootstrap the cluster, others join, and learners
 /// replace voters.
 pub fn explore_members(seed: u64, steps: usize, fault: Option<InjectedFault>) -> CheckResult {
