--- a/crates/cli/tests/submit.rs
+++ b/crates/cli/tests/submit.rs
@@ -50,9 +50,12 @@
                 let mut request = vec![0; 65536];
                 let mut length = 0;
                 // The body of a submitted ticket ends with the closing brace of its JSON.
-                while !request[..length].ends_with(b"}")
-                    && !(request.starts_with(b"GET ") && request[..length].ends_with(b"\r\n\r\n"))
-                {
+                loop {
+                    let read = &request[..length];
+                    let is_query = read.starts_with(b"GET ") && read.ends_with(b"\r\n\r\n");
+                    if is_query || read.ends_with(b"}") {
+                        break;
+                    }
                     length += stream.read(&mut request[length..]).unwrap();
                 }
                 let index = requests.fetch_add(1, Ordering::SeqCst);
