fix(balance,director): a removed server ends the probe of its zone

Found at the read of the diff: the report of an attempt at a server that is gone is ignored, so a zone whose probed server was removed meanwhile stayed closed for this host until an older attempt was answered. The test fails without the change. And the list of ids isn't made for a poll that has no indexes, as before.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -382,6 +382,7 @@
         let Some(server) = self.servers.remove(key) else {
             return;
         };
+        self.zones[server.zone].end_request(key);
         if let Some(group) = self.groups.get_mut(&server.record.service) {
             group.servers.retain(|other| *other != key);
         }
@@ -400,8 +401,9 @@
     }
 
     /// Returns whether this host is the only one that sends requests to a backend server while the
-    /// server is cold or probably doesn't answer: the first by rendezvous hashing among the hosts in the server's zone, else in its
-    /// region, else among all hosts. The result is kept until the list of hosts changes.
+    /// server is cold or probably doesn't answer: the first by rendezvous hashing among the hosts in the
+    /// server's zone, else in its region, else among all hosts. The result is kept until the list of
+    /// hosts changes.
     pub(crate) fn is_designated(&self, server: &TrackedServer) -> bool {
         if let Some((version, owns)) = server.designated.get() {
             if version == self.hosts_version {
--- a/crates/balance/tests/reach.rs
+++ b/crates/balance/tests/reach.rs
@@ -13,6 +13,7 @@
 use balance::balancer::LoadBalancer;
 use balance::query::{AttemptReport, ChosenServer, LoadRefusal, RefusalCause, ServerQuery};
 use balance::server::AttemptEnd;
+use fleet::change::FleetChange;
 use rstest::rstest;
 use simulation::{query, record, settings, view};
 
@@ -179,6 +180,22 @@
     assert_eq!(any, cut_off);
 }
 
+/// The report of an attempt at a server that is gone is ignored, so the removal has to end the probe.
+#[test]
+fn a_zone_is_probed_again_if_the_probed_server_is_removed() {
+    let start = Instant::now();
+    let mut balancer = balancer(start, &["east-a"]);
+    for object in 0..3 {
+        let chosen = balancer.choose(start, &query(Some(object << 32))).unwrap();
+        finish(&mut balancer, start, &chosen, AttemptEnd::Unreachable);
+    }
+    let now = start + Duration::from_secs(1);
+    let probe = balancer.choose(now, &query(None)).unwrap();
+    balancer.apply(now, &FleetChange::ServerGone(probe.record.id.clone()));
+    finish(&mut balancer, now, &probe, AttemptEnd::Unreachable);
+    assert!(balancer.choose(now, &query(None)).is_ok());
+}
+
 /// After a cut, one request at a time finds out whether the zone is reached again.
 #[test]
 fn a_zone_is_probed_by_one_request_after_a_cut() {
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -509,7 +509,8 @@
         let host = &request.host.name;
         self.shares.record_host(now, host, &request.region, shares);
         let readings_fit = request.revision == Some(self.changes.latest_revision());
-        let ids = readings_fit.then(|| server_ids(&self.state));
+        let has_indexes = !request.loads.is_empty() || !request.unanswered.is_empty();
+        let ids = (readings_fit && has_indexes).then(|| server_ids(&self.state));
         if let Some(ids) = &ids {
             self.loads.record_host(now, ids, &request.loads);
         }
--- a/crates/director/src/evidence.rs
+++ b/crates/director/src/evidence.rs
@@ -21,8 +21,8 @@
 
 impl ServerEvidence {
     /// Records what an entry host reports. `ids` are those of all backend servers in order, to which
-    /// its indexes refer; `None` where the host has another revision of the state. Returns whether a
-    /// server is thereby known to leave.
+    /// its indexes refer; `None` where it sent none, or has another revision of the state. Returns
+    /// whether a server is thereby known to leave.
     pub fn record_host(
         &mut self,
         now: Instant,
