fix(registry): servers that others are preferred to get requests again

Cause: of two candidates the one with the lower score is picked, and the score divides by the concurrency limit. That grows with answers only, from 1. With requests one after another, the servers that are picked first reach limits above 2, and a server that wasn't among them keeps limit 1 and the assumed 20 ms of latency, so it never has the lower score again. Likewise a server whose first answer was slow keeps that average for ever, as only answers change it.

Ruled out: load on the machine. Alone the test failed 1 of 3 runs, beside twelve busy processes 2 of 6.

Change: where the limit is below the fair share of the slots, the score uses the fair share; the limit still bounds what runs there. The expected latency halves in each second without an answer and is zero before the first, and an answer after a pause weighs as much as the average lost.

--- a/crates/guard/src/limit.rs
+++ b/crates/guard/src/limit.rs
@@ -138,6 +138,11 @@
         self.limit.get()
     }
 
+    /// Returns the fair share of this entry host in the server's slots.
+    pub fn fair_share(&self) -> f64 {
+        self.fair_share.get()
+    }
+
     /// Returns the ratio of in-flight requests to the limit.
     pub fn utilisation(&self) -> f64 {
         f64::from(self.in_flight()) / self.limit().floor().max(MIN_LIMIT)
--- a/crates/registry/src/entry.rs
+++ b/crates/registry/src/entry.rs
@@ -35,12 +35,14 @@
 
     /// Returns the expected cost of one more request; lower is better.
     ///
-    /// The score is the product of the utilisation of the concurrency limit, the average latency
-    /// and a factor for recent failures, divided by [`BackendGauge::weight`].
+    /// The score is the product of the utilisation, the expected latency and a factor for recent
+    /// failures, divided by [`BackendGauge::weight`]. Utilisation refers to the fair share of the slots
+    /// where the concurrency limit is still below it, as the limit only grows with requests.
     pub fn score(&self, now: Instant) -> f64 {
         let limit = self.gauge.limit();
-        let utilisation = (f64::from(limit.in_flight()) + 1.0) / limit.limit();
-        let latency = self.gauge.latency().as_secs_f64().max(1e-4);
+        let capacity = limit.limit().max(limit.fair_share());
+        let utilisation = (f64::from(limit.in_flight()) + 1.0) / capacity;
+        let latency = self.gauge.expected_latency(now).as_secs_f64().max(1e-4);
         let failure_factor = 1.0 + f64::from(self.gauge.failures());
         utilisation * latency * failure_factor / self.gauge.weight(now)
     }
--- a/crates/registry/src/gauge.rs
+++ b/crates/registry/src/gauge.rs
@@ -24,6 +24,9 @@
 /// Weight of each new latency in the moving average.
 const LATENCY_EWMA_WEIGHT: f64 = 0.1;
 
+/// Time in which the moving average of the latency loses half of its weight without a new answer.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(1);
+
 /// Average latency before the first answer, in seconds.
 const INITIAL_LATENCY_SECONDS: f64 = 0.02;
 
@@ -78,6 +81,16 @@
         Duration::from_secs_f64(self.latency.get().clamp(0.0, 3600.0))
     }
 
+    /// Returns the latency that is expected for the choice of a server. It decreases while there are no
+    /// answers and begins at zero, so that a server that others are preferred to is tried again.
+    pub fn expected_latency(&self, now: Instant) -> Duration {
+        match self.since_answer(now) {
+            Some(age) => self.latency().mul_f64(remaining_weight(age)),
+            None if self.failures() == 0 => Duration::ZERO,
+            None => self.latency(),
+        }
+    }
+
     /// Returns the time since the latest complete answer, or `None` before the first one.
     pub fn since_answer(&self, now: Instant) -> Option<Duration> {
         age(now, self.answered_at.load(Ordering::Relaxed))
@@ -167,8 +180,12 @@
     fn record_answer(&self, now: Instant, latency: Duration) -> GaugeAction {
         self.limit.record(now, LimitSample::Answered(latency));
         let seconds = latency.as_secs_f64();
+        let stale_weight = self
+            .since_answer(now)
+            .map_or(1.0, |age| 1.0 - remaining_weight(age));
+        let weight = stale_weight.max(LATENCY_EWMA_WEIGHT);
         self.latency
-            .update(|average| average + LATENCY_EWMA_WEIGHT * (seconds - average));
+            .update(|average| average + weight * (seconds - average));
         self.answered_at
             .fetch_max(atomic::nanos_of(now), Ordering::Relaxed);
         self.failures.store(0, Ordering::Relaxed);
@@ -199,6 +216,11 @@
     Recover,
 }
 
+/// Returns the weight that a moving average of an age keeps.
+fn remaining_weight(age: Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64())
+}
+
 /// Returns the age of a time in nanoseconds, or `None` for 0.
 fn age(now: Instant, at: u64) -> Option<Duration> {
     (at != 0).then(|| Duration::from_nanos(atomic::nanos_of(now).saturating_sub(at)))
--- a/crates/registry/tests/backend_registry.rs
+++ b/crates/registry/tests/backend_registry.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use model::backend::BackendAnnouncement;
@@ -298,6 +299,48 @@
     assert!((min_share..=max_share).contains(&share), "{share}");
 }
 
+/// Sends requests to three servers one after another, one each 10 ms, and returns those that each
+/// server received in a period. Server 0 answers the first one within `first_latency`; all others are
+/// answered within 5 ms.
+fn requests_one_after_another(first_latency: Duration, period: Range<u32>) -> BTreeMap<u16, u32> {
+    let start = Instant::now();
+    let registry = registry_with(start, 3);
+    let numbers: BTreeMap<_, _> = (0..3).map(|n| (key_of(&registry, n), n)).collect();
+    let mut sent: BTreeMap<u16, u32> = (0..3).map(|number| (number, 0)).collect();
+    let mut received_by_first = 0;
+    for step in 0..period.end {
+        let now = start + MS * 10 * step;
+        let candidates = registry.candidates(SERVICE, ZONE);
+        let (entry, permit) = pick_backend(now, &candidates, u64::from(step), &[]).unwrap();
+        let number = numbers[&entry.key];
+        received_by_first += u32::from(number == 0);
+        let latency = match number {
+            0 if received_by_first == 1 => first_latency,
+            _ => MS * 5,
+        };
+        registry.record_outcome(now, entry.key, BackendOutcome::Answered { latency });
+        drop(permit);
+        if period.contains(&step) {
+            *sent.get_mut(&number).unwrap() += 1;
+        }
+    }
+    sent
+}
+
+/// With requests one after another, the limits of the servers that were picked first grow. The others
+/// must get requests all the same, also one whose first answer was slow.
+#[rstest]
+#[case::equal_servers(MS * 5, 0..100)]
+#[case::slow_first_answer(MS * 500, 0..3_000)]
+fn every_idle_server_gets_requests(#[case] first_latency: Duration, #[case] period: Range<u32>) {
+    let sent = requests_one_after_another(first_latency, period.clone());
+    let fair_share = period.end / 3;
+    assert!(
+        sent.values().all(|count| *count >= fair_share / 4),
+        "{sent:?}"
+    );
+}
+
 #[test]
 fn a_server_that_shed_gets_no_requests_until_its_retry_after_time() {
     let now = Instant::now();
