fix(director): replicas tell each other of outages; server indexes follow the state

Two changes in what replicas report to each other, made together as they touch the same lines.

Known red: hosts_learn_from_each_other_which_server_answers_nothing. Cause: each replica decided alone whether a server answers nobody. One that got the reports together with an answer of before dropped them; the hosts, which another replica had told, left the server alone and reported no more. Now the replica that finds an outage reports it at once, with its remaining time; the others take it over, don't extend it and don't pass it on. An answer ends it everywhere as before. Test: replicas_tell_each_other_which_servers_are_unresponsive, red without the passing on.

A poll now costs what it reports; a batch of answers still walks the vector, 20 times a second at most.

--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -26,6 +26,7 @@
 use crate::follow::FollowQueue;
 use crate::hints;
 use crate::hosts::HostLists;
+use crate::index::ServerIndex;
 use crate::liveness::{self, LivenessTable};
 use crate::loads::LoadTable;
 use crate::message::{FollowReply, FollowRequest, GossipReport, ProposeOutcome, ReadOutcome};
@@ -85,6 +86,8 @@
     /// State after the last applied log entry.
     state: FleetState,
     changes: ChangeLog,
+    /// Indexes of the backend servers in `state`.
+    index: ServerIndex,
     liveness: LivenessTable,
     shares: ShareTable,
     loads: LoadTable,
@@ -129,6 +132,7 @@
         metrics: DirectorMetrics,
     ) -> Result<Self, postcard::Error> {
         let state = decode_state(&recovered.snapshot)?;
+        let index = ServerIndex::new(&state);
         let own = address::replica_at(settings.mesh_address);
         let seeds: Vec<_> = settings
             .seeds
@@ -148,12 +152,13 @@
         Ok(Self {
             machine: QuorumMachine::new(now, config, recovered),
             changes: ChangeLog::new(state.revision()),
+            loads: LoadTable::new(index.len()),
+            index,
             state,
             settings,
             metrics,
             liveness: LivenessTable::new(),
             shares: ShareTable::default(),
-            loads: LoadTable::default(),
             evidence: ServerEvidence::default(),
             announced_at: BTreeMap::new(),
             outcomes: BTreeMap::new(),
@@ -326,6 +331,9 @@
         };
         let (outcome, changes) = self.state.apply(entry.index, command);
         for change in &changes {
+            if let Some(shift) = self.index.apply(change) {
+                self.loads.shift(shift);
+            }
             self.record_change(now, entry.index, change);
         }
         self.changes.append(entry.index, changes);
@@ -401,6 +409,8 @@
                 );
                 self.changes = ChangeLog::new(state.revision());
                 self.announced_at = state.servers().map(|s| (s.id.clone(), now)).collect();
+                self.index = ServerIndex::new(&state);
+                self.loads = LoadTable::new(self.index.len());
                 self.state = state;
                 self.snapshot_index = snapshot.index;
                 self.applied_term = snapshot.term;
@@ -509,13 +519,11 @@
         let host = &request.host.name;
         self.shares.record_host(now, host, &request.region, shares);
         let readings_fit = request.revision == Some(self.changes.latest_revision());
-        let has_indexes = !request.loads.is_empty() || !request.unanswered.is_empty();
-        let ids = (readings_fit && has_indexes).then(|| server_ids(&self.state));
-        if let Some(ids) = &ids {
-            self.loads.record_host(now, ids, &request.loads);
+        if readings_fit {
+            self.loads.record_host(now, &request.loads);
         }
-        let ids = ids.as_deref();
-        if self.evidence.record_host(now, &self.state, ids, &request) {
+        let index = readings_fit.then_some(&self.index);
+        if self.evidence.record_host(now, &self.state, index, &request) {
             // The other replicas learn of a server that is leaving at once.
             self.next_report = now;
         }
@@ -540,12 +548,11 @@
         let shares = std::mem::take(&mut report.shares);
         self.shares.record_replica(now, from, shares);
         let readings_fit = report.revision == self.changes.latest_revision();
-        let ids = readings_fit.then(|| server_ids(&self.state));
-        if let Some(ids) = &ids {
-            self.loads.merge_sums(now, ids, &report.loads);
+        if readings_fit {
+            self.loads.merge_sums(now, &report.loads);
         }
-        let ids = ids.as_deref();
-        self.evidence.merge_report(now, &self.state, ids, &report);
+        let index = readings_fit.then_some(&self.index);
+        self.evidence.merge_report(now, &self.state, index, &report);
         self.liveness.merge_report(now, report);
     }
 
@@ -560,7 +567,10 @@
     /// alone doesn't make a request outdated: it goes out with the next answer.
     fn answer_follows(&mut self, now: Instant) {
         let latest = self.changes.latest_revision();
-        self.evidence.refresh(now);
+        if self.evidence.refresh(now) {
+            // The other replicas may lack the reports, and get none while hosts avoid the server.
+            self.next_report = now;
+        }
         let became_cold = self.liveness.take_became_cold();
         let hinted = self.evidence.take_changed();
         if latest != self.checked_revision || became_cold || hinted {
@@ -588,7 +598,7 @@
         }
         self.refresh_hosts(now);
         let shares = self.shares.means(now);
-        let loads = self.loads.vector(now, latest, &server_ids(&self.state));
+        let loads = self.loads.vector(now, latest);
         let replicas = self.replicas();
         let confirmed_ago = self
             .confirmed_at
@@ -630,10 +640,9 @@
         let mut report = self.liveness.take_report(now);
         report.shares = self.shares.report(now);
         report.revision = self.changes.latest_revision();
-        let ids = server_ids(&self.state);
-        report.loads = self.loads.take_sums(now, &ids);
-        self.evidence.fill_report(now, &ids, &mut report);
-        if report.servers.is_empty() && report.hosts.is_empty() {
+        report.loads = self.loads.take_sums();
+        self.evidence.fill_report(now, &self.index, &mut report);
+        if report.servers.is_empty() && report.hosts.is_empty() && report.hints.is_empty() {
             return;
         }
         let own = address::replica_at(self.settings.mesh_address);
@@ -695,11 +704,6 @@
     }
 }
 
-/// Returns the ids of all backend servers in order, to which the indexes in load reports refer.
-fn server_ids(state: &FleetState) -> Vec<&ids::ServerId> {
-    state.servers().map(|server| &server.id).collect()
-}
-
 /// Decodes the state of a snapshot; the empty state for the snapshot at index 0, which has no data.
 fn decode_state(snapshot: &LogSnapshot) -> Result<FleetState, postcard::Error> {
     if snapshot.index == 0 {
--- a/crates/director/src/evidence.rs
+++ b/crates/director/src/evidence.rs
@@ -2,13 +2,13 @@
 
 use std::time::Instant;
 
-use fleet::hint::{ServerHint, ServerIncarnation};
-use fleet::ids;
+use fleet::hint::{HintKind, ServerHint, ServerIncarnation};
 use fleet::server::ServerState;
 use fleet::state::FleetState;
 use xxhash_rust::xxh3;
 
 use crate::hints::LeavingTable;
+use crate::index::ServerIndex;
 use crate::message::{FollowRequest, GossipReport};
 use crate::outages::OutageTable;
 
@@ -20,22 +20,21 @@
 }
 
 impl ServerEvidence {
-    /// Records what an entry host reports. `ids` are those of all backend servers in order, to which
-    /// its indexes refer; `None` where it sent none, or has another revision of the state. Returns
-    /// whether a server is thereby known to leave.
+    /// Records what an entry host reports. `index` is the one to which its indexes refer; `None` where
+    /// it has another revision of the state. Returns whether a server is thereby known to leave.
     pub fn record_host(
         &mut self,
         now: Instant,
         state: &FleetState,
-        ids: Option<&[&ids::ServerId]>,
+        index: Option<&ServerIndex>,
         request: &FollowRequest,
     ) -> bool {
-        if let Some(ids) = ids {
+        if let Some(index) = index {
             let answered = request.loads.iter().map(|reading| reading.server_index);
-            self.record_answers(now, ids, answered);
+            self.record_answers(now, index, answered);
             let reporter = xxh3::xxh3_64(request.host.name.as_bytes());
-            for index in &request.unanswered {
-                if let Some(server) = incarnation_at(state, ids, *index) {
+            for unanswered in &request.unanswered {
+                if let Some(server) = index.incarnation(state, *unanswered) {
                     self.outages.record_unanswered(now, &server, reporter);
                 }
             }
@@ -66,54 +65,62 @@
         true
     }
 
-    /// Merges the reports of another replica; `ids` as in [`ServerEvidence::record_host`].
+    /// Merges the reports of another replica; `index` as in [`ServerEvidence::record_host`].
     pub fn merge_report(
         &mut self,
         now: Instant,
         state: &FleetState,
-        ids: Option<&[&ids::ServerId]>,
+        index: Option<&ServerIndex>,
         report: &GossipReport,
     ) {
-        self.leaving.merge(now, &report.leaving);
-        let Some(ids) = ids else {
+        for hint in &report.hints {
+            match hint.kind {
+                HintKind::Leaving => self.leaving.merge(now, hint),
+                HintKind::Unresponsive => self.outages.merge_outage(now, hint),
+            }
+        }
+        let Some(index) = index else {
             return;
         };
         for unanswered in &report.unanswered {
-            if let Some(server) = incarnation_at(state, ids, unanswered.server_index) {
+            if let Some(server) = index.incarnation(state, unanswered.server_index) {
                 self.outages
                     .merge_unanswered(now, &server, unanswered.reporter);
             }
         }
         // The order of the reports of different hosts isn't known, so an answer counts as the latest.
         let answered = report.loads.iter().filter(|sum| sum.count > 0);
-        self.record_answers(now, ids, answered.map(|sum| sum.server_index));
+        self.record_answers(now, index, answered.map(|sum| sum.server_index));
     }
 
     fn record_answers(
         &mut self,
         now: Instant,
-        ids: &[&ids::ServerId],
-        indexes: impl Iterator<Item = u32>,
+        index: &ServerIndex,
+        answered: impl Iterator<Item = u32>,
     ) {
         if self.outages.is_empty() {
             return;
         }
-        for id in indexes.filter_map(|index| ids.get(index as usize)) {
+        for id in answered.filter_map(|server| index.id(server)) {
             self.outages.record_answer(now, id);
         }
     }
 
-    /// Determines which servers became unresponsive since the last call.
-    pub fn refresh(&mut self, now: Instant) {
-        for ServerIncarnation { id, born } in self.outages.refresh(now) {
+    /// Determines which servers became unresponsive since the last call. Returns whether there are any.
+    pub fn refresh(&mut self, now: Instant) -> bool {
+        let found = self.outages.refresh(now);
+        for ServerIncarnation { id, born } in &found {
             log::info!(target: "hosts", "server answers no entry host; server={id} born={born}");
         }
+        !found.is_empty()
     }
 
     /// Adds the reports of entry hosts since the previous call to a report to the other replicas.
-    pub fn fill_report(&mut self, now: Instant, ids: &[&ids::ServerId], report: &mut GossipReport) {
-        report.leaving = self.leaving.take_report(now);
-        report.unanswered = self.outages.take_report(ids);
+    pub fn fill_report(&mut self, now: Instant, index: &ServerIndex, report: &mut GossipReport) {
+        report.hints = self.leaving.take_report(now);
+        report.hints.extend(self.outages.take_hints(now));
+        report.unanswered = self.outages.take_report(index);
     }
 
     /// Returns the hints that are in force.
@@ -129,16 +136,3 @@
         self.outages.take_changed() || leaving
     }
 }
-
-/// Returns the incarnation of the backend server at an index in the list of all.
-fn incarnation_at(
-    state: &FleetState,
-    ids: &[&ids::ServerId],
-    index: u32,
-) -> Option<ServerIncarnation> {
-    let record = state.server(ids.get(index as usize)?)?;
-    Some(ServerIncarnation {
-        id: record.id.clone(),
-        born: record.born,
-    })
-}
--- a/crates/director/src/hints.rs
+++ b/crates/director/src/hints.rs
@@ -34,16 +34,10 @@
         self.insert(now, server, LEAVING_TTL, true)
     }
 
-    /// Merges hints that another replica reported.
-    pub fn merge(&mut self, now: Instant, hints: &[ServerHint]) {
-        for hint in hints {
-            self.insert(
-                now,
-                hint.server.clone(),
-                hint.remaining.min(LEAVING_TTL),
-                false,
-            );
-        }
+    /// Merges a hint that another replica reported.
+    pub fn merge(&mut self, now: Instant, hint: &ServerHint) {
+        let remaining = hint.remaining.min(LEAVING_TTL);
+        self.insert(now, hint.server.clone(), remaining, false);
     }
 
     /// Inserts a hint. One that is in force isn't extended, so that it ends unless the server goes on
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`directory`] | choice of the entry hosts for a client |
 //! | [`evidence`] | reports about backend servers, and the hints that follow |
 //! | [`hints`] | hints about backend servers |
+//! | [`index`] | indexes of the backend servers in messages |
 //! | [`loads`] | mean loads of the backend servers |
 //! | [`shares`] | mean spill shares of the regions |
 //! | [`outages`] | detection of backend servers that don't answer |
@@ -33,6 +34,7 @@
 pub mod handle;
 pub mod hints;
 pub mod hosts;
+pub mod index;
 pub mod liveness;
 pub mod loads;
 pub mod mesh;
--- a/crates/director/src/message.rs
+++ b/crates/director/src/message.rs
@@ -281,8 +281,8 @@
     pub servers: Vec<ServerLiveness>,
     /// Entry hosts that called.
     pub hosts: Vec<HostLiveness>,
-    /// Hints that servers are leaving, which entry hosts reported.
-    pub leaving: Vec<ServerHint>,
+    /// Hints that follow from reports of entry hosts to this replica.
+    pub hints: Vec<ServerHint>,
     /// Sums of the shares that entry hosts reported.
     pub shares: Vec<SpillShareSum>,
     /// Revision at which the indexes in `loads` are valid.
--- a/crates/director/src/outages.rs
+++ b/crates/director/src/outages.rs
@@ -3,7 +3,8 @@
 //! With many entry hosts, each one sends a backend server few requests, so each would have to lose some
 //! before it knows. Entry hosts report attempts without an answer, and replicas exchange these
 //! reports. A server that several hosts got no answer from, and no host an answer since, counts as
-//! unresponsive for a time.
+//! unresponsive for a time. The replica that finds this tells the others, which may know of answers of
+//! before, and of no attempts afterwards.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -11,6 +12,7 @@
 use fleet::hint::{HintKind, ServerHint, ServerIncarnation};
 use fleet::ids;
 
+use crate::index::ServerIndex;
 use crate::message::{ReporterHash, UnansweredReport};
 
 /// Number of entry hosts without an answer from which a server counts as unresponsive: what is between
@@ -40,6 +42,8 @@
     until: Option<Instant>,
     /// Outages in a row.
     outages: u32,
+    /// Whether this replica found the outage since its previous report.
+    unreported: bool,
     touched_at: Instant,
 }
 
@@ -72,12 +76,7 @@
         server: &ServerIncarnation,
         reporter: ReporterHash,
     ) {
-        let entry = self.entries.entry(server.id.clone());
-        let entry = entry.or_insert_with(|| OutageEntry::new(now, server.born));
-        if entry.born != server.born {
-            *entry = OutageEntry::new(now, server.born);
-        }
-        entry.touched_at = now;
+        let entry = self.entry(now, server);
         // The attempt began before the hosts knew of the outage.
         if entry.is_unresponsive(now) {
             return;
@@ -89,6 +88,30 @@
         entry.reporters.insert(reporter, now);
     }
 
+    /// Merges an outage that another replica found; one that is known already isn't extended.
+    pub fn merge_outage(&mut self, now: Instant, hint: &ServerHint) {
+        let known = self.entries.get(&hint.server.id);
+        if known.is_some_and(|known| known.born > hint.server.born) {
+            return;
+        }
+        let entry = self.entry(now, &hint.server);
+        if !entry.is_unresponsive(now) {
+            entry.start_outage(now, hint.remaining.min(MAX_OUTAGE));
+            self.changed = true;
+        }
+    }
+
+    /// Returns the entry of an incarnation, which replaces that of another one.
+    fn entry(&mut self, now: Instant, server: &ServerIncarnation) -> &mut OutageEntry {
+        let entry = self.entries.entry(server.id.clone());
+        let entry = entry.or_insert_with(|| OutageEntry::new(now, server.born));
+        if entry.born != server.born {
+            *entry = OutageEntry::new(now, server.born);
+        }
+        entry.touched_at = now;
+        entry
+    }
+
     /// Determines which servers became unresponsive since the last call, and evicts those without
     /// reports for long. Returns the new ones.
     pub fn refresh(&mut self, now: Instant) -> Vec<ServerIncarnation> {
@@ -121,28 +144,28 @@
     /// Returns the hints for the servers that count as unresponsive.
     pub fn current(&self, now: Instant) -> Vec<ServerHint> {
         let entries = self.entries.iter();
-        let unresponsive = entries.filter_map(|(id, entry)| {
-            let until = entry.until.filter(|until| now < *until)?;
-            Some(ServerHint {
-                server: ServerIncarnation {
-                    id: id.clone(),
-                    born: entry.born,
-                },
-                kind: HintKind::Unresponsive,
-                remaining: until.saturating_duration_since(now),
-            })
+        entries
+            .filter_map(|(id, entry)| entry.hint(now, id))
+            .collect()
+    }
+
+    /// Returns the hints for the outages that this replica found since the previous call.
+    pub fn take_hints(&mut self, now: Instant) -> Vec<ServerHint> {
+        let entries = self.entries.iter_mut();
+        let unreported = entries.filter_map(|(id, entry)| {
+            let unreported = std::mem::take(&mut entry.unreported);
+            unreported.then(|| entry.hint(now, id)).flatten()
         });
-        unresponsive.collect()
+        unreported.collect()
     }
 
-    /// Returns the reports of entry hosts to this replica since the previous call, with the indexes of
-    /// the servers in `ids`.
-    pub fn take_report(&mut self, ids: &[&ids::ServerId]) -> Vec<UnansweredReport> {
+    /// Returns the reports of entry hosts to this replica since the previous call.
+    pub fn take_report(&mut self, index: &ServerIndex) -> Vec<UnansweredReport> {
         let unreported = std::mem::take(&mut self.unreported).into_iter();
         let reports = unreported.filter_map(|(id, reporter)| {
-            let index = ids.binary_search(&&id).ok()?;
+            let server_index = index.position(&id)?;
             Some(UnansweredReport {
-                server_index: index as u32,
+                server_index,
                 reporter,
             })
         });
@@ -163,6 +186,7 @@
             first_report_at: now,
             until: None,
             outages: 0,
+            unreported: false,
             touched_at: now,
         }
     }
@@ -181,10 +205,28 @@
             return false;
         }
         let period = MIN_OUTAGE * 2_u32.saturating_pow(self.outages);
-        self.until = Some(now + period.min(MAX_OUTAGE));
+        self.start_outage(now, period.min(MAX_OUTAGE));
+        self.unreported = true;
+        true
+    }
+
+    fn start_outage(&mut self, now: Instant, period: Duration) {
+        self.until = Some(now + period);
         self.outages = (self.outages + 1).min(8);
         self.reporters.clear();
-        true
+    }
+
+    /// Returns the hint of an outage that is in force.
+    fn hint(&self, now: Instant, id: &str) -> Option<ServerHint> {
+        let until = self.until.filter(|until| now < *until)?;
+        Some(ServerHint {
+            server: ServerIncarnation {
+                id: id.to_string(),
+                born: self.born,
+            },
+            kind: HintKind::Unresponsive,
+            remaining: until.saturating_duration_since(now),
+        })
     }
 
     fn evict_reporters(&mut self, now: Instant) {
--- a/crates/director/tests/hints.rs
+++ b/crates/director/tests/hints.rs
@@ -70,7 +70,7 @@
     let report = first.take_report(later);
     assert_eq!(report.len(), 1);
     assert!(first.take_report(later).is_empty());
-    second.merge(later, &report);
+    second.merge(later, &report[0]);
     assert!(second.take_changed());
     assert!(second.take_report(later).is_empty());
     let end = start + Duration::from_secs(10);
--- a/crates/director/tests/outages.rs
+++ b/crates/director/tests/outages.rs
@@ -1,11 +1,18 @@
 //! Detection of backend servers that answer no entry host.
 #![allow(missing_docs, clippy::unwrap_used)]
 
+mod support;
+
 use std::time::{Duration, Instant};
 
-use director::message::ReporterHash;
+use director::evidence::ServerEvidence;
+use director::index::ServerIndex;
+use director::message::{FollowRequest, GossipReport, LoadSum, ReporterHash};
 use director::outages::OutageTable;
-use fleet::hint::ServerIncarnation;
+use fleet::command::FleetCommand;
+use fleet::hint::{HintKind, ServerHint, ServerIncarnation};
+use fleet::server::{ServerRecord, ServerState};
+use fleet::state::FleetState;
 use rstest::rstest;
 
 fn server(born: u64) -> ServerIncarnation {
@@ -123,15 +130,105 @@
 #[test]
 fn replicas_add_up_their_reports() {
     let now = Instant::now();
-    let id = "s1".to_string();
+    let index = ServerIndex::from_iter(["s1".to_string()]);
     let (mut first, mut second) = (OutageTable::default(), OutageTable::default());
     first.record_unanswered(now, &server(1), 1);
     second.record_unanswered(now, &server(1), 2);
-    for report in first.take_report(&[&id]) {
+    for report in first.take_report(&index) {
         assert_eq!(report.server_index, 0);
         second.merge_unanswered(now, &server(1), report.reporter);
     }
     assert_eq!(second.refresh(now + CONFIRMATION_TIME).len(), 1);
-    assert_eq!(second.take_report(&[&id]).len(), 1);
-    assert!(second.take_report(&[&id]).is_empty());
+    assert_eq!(second.take_report(&index).len(), 1);
+    assert!(second.take_report(&index).is_empty());
+}
+
+/// The committed state with server `s1`.
+fn state_with_server() -> FleetState {
+    let record = ServerRecord {
+        id: "s1".to_string(),
+        service: "reads".to_string(),
+        zone: "east-a".to_string(),
+        address: "10.0.2.1:80".parse().unwrap(),
+        version: "1".to_string(),
+        slots: 4,
+        state: ServerState::Ready,
+        born: 1,
+        cold: Duration::ZERO,
+    };
+    let mut state = FleetState::new();
+    state.apply(1, FleetCommand::Announce(record));
+    state
+}
+
+/// A replica may hear of unanswered attempts together with answers of before, and of no attempt
+/// afterwards, as the hosts know of the outage by then.
+#[test]
+fn replicas_tell_each_other_which_servers_are_unresponsive() {
+    let start = Instant::now();
+    let state = state_with_server();
+    let id = "s1".to_string();
+    let index = ServerIndex::from_iter([id]);
+    let (mut first, mut second) = (ServerEvidence::default(), ServerEvidence::default());
+    let hosts = [1, 2].map(|host| host_without_answer(&format!("host-{host}")));
+    for request in &hosts {
+        first.record_host(start, &state, Some(&index), request);
+    }
+    let mut report = GossipReport::default();
+    first.fill_report(start, &index, &mut report);
+    report.loads.push(LoadSum {
+        server_index: 0,
+        sum: 0,
+        count: 1,
+    });
+    second.merge_report(start, &state, Some(&index), &report);
+    let began = start + CONFIRMATION_TIME;
+    assert!(first.refresh(began), "the others learn of it at once");
+    assert!(!second.refresh(began));
+    let mut report = GossipReport::default();
+    first.fill_report(began, &index, &mut report);
+    second.merge_report(began, &state, None, &report);
+    assert!(second.take_changed());
+    assert_eq!(second.hints(began), first.hints(began));
+    // The second replica doesn't pass it on, so that no replica extends it.
+    let mut report = GossipReport::default();
+    second.fill_report(began, &index, &mut report);
+    assert!(report.hints.is_empty());
+    // An answer ends it everywhere.
+    let mut answered = GossipReport::default();
+    answered.loads.push(LoadSum {
+        server_index: 0,
+        sum: 0,
+        count: 1,
+    });
+    second.merge_report(began, &state, Some(&index), &answered);
+    assert!(second.hints(began).is_empty());
+}
+
+/// Returns the request of an entry host that got no answer from the only server.
+fn host_without_answer(name: &str) -> FollowRequest {
+    FollowRequest {
+        unanswered: vec![0],
+        ..support::follow_request(name, Some(1))
+    }
+}
+
+#[test]
+fn an_outage_of_an_older_incarnation_is_not_taken_over() {
+    let now = Instant::now();
+    let mut table = OutageTable::default();
+    table.record_unanswered(now, &server(2), 1);
+    let hint = |born| ServerHint {
+        server: server(born),
+        kind: HintKind::Unresponsive,
+        remaining: Duration::from_secs(3),
+    };
+    table.merge_outage(now, &hint(1));
+    assert!(!is_unresponsive(&table, now));
+    table.merge_outage(now, &hint(2));
+    assert!(is_unresponsive(&table, now));
+    let end = now + Duration::from_secs(3);
+    // It isn't extended by a second replica that found the same outage later.
+    table.merge_outage(now + Duration::from_secs(1), &hint(2));
+    assert!(!is_unresponsive(&table, end));
 }
--- a/crates/director/tests/support/mod.rs
+++ b/crates/director/tests/support/mod.rs
@@ -91,24 +91,7 @@
         revision: Option<u64>,
     ) -> oneshot::Receiver<FollowReply> {
         let (reply, answer) = oneshot::channel();
-        let request = FollowRequest {
-            host: HostStatus {
-                name: format!("host-{host}"),
-                address: "10.0.1.1:80".parse().unwrap(),
-                zone: "east-a".to_string(),
-                ready: true,
-            },
-            region: "east".to_string(),
-            shares: Vec::new(),
-            revision,
-            loads: Vec::new(),
-            leaving: Vec::new(),
-            unanswered: Vec::new(),
-            hosts_digest: 0,
-            cold_digest: 0,
-            hints_digest: 0,
-            max_wait: revision.map_or(Duration::ZERO, |_| LONG_POLL_WAIT),
-        };
+        let request = follow_request(&format!("host-{host}"), revision);
         let request = Box::new(request);
         let call = CoreCall::Follow { request, reply };
         self.core.handle_call(self.now, call);
@@ -141,3 +124,25 @@
         }
     }
 }
+
+/// Returns the call of an entry host that has the state at a revision and nothing to report.
+pub fn follow_request(host: &str, revision: Option<u64>) -> FollowRequest {
+    FollowRequest {
+        host: HostStatus {
+            name: host.to_string(),
+            address: "10.0.1.1:80".parse().unwrap(),
+            zone: "east-a".to_string(),
+            ready: true,
+        },
+        region: "east".to_string(),
+        shares: Vec::new(),
+        revision,
+        loads: Vec::new(),
+        leaving: Vec::new(),
+        unanswered: Vec::new(),
+        hosts_digest: 0,
+        cold_digest: 0,
+        hints_digest: 0,
+        max_wait: revision.map_or(Duration::ZERO, |_| LONG_POLL_WAIT),
+    }
+}
