--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -1,4 +1,4 @@
-//! Decisions of a control replica: consensus, replicated state, liveness, answers to entry hosts.
+//! Decisions of a control replica: consensus, announcements, answers to entry hosts.
 //!
 //! The core does no input or output. It returns [`CoreAction`]s, which the task that owns it
 //! performs.
@@ -6,11 +6,10 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant, SystemTime};
 
-use fleet::change::{ChangeLog, FleetChange, FleetUpdate, FleetView};
-use fleet::command::{CommandOutcome, FleetCommand};
+use fleet::change::FleetChange;
+use fleet::command::FleetCommand;
 use fleet::ids;
 use fleet::server::ServerRecord;
-use fleet::state::FleetState;
 use quorum::config::QuorumConfig;
 use quorum::entry::{EntryPayload, LogEntry, LogSnapshot, RecoveredState};
 use quorum::event::{AnswerOutcome, Effect, Event, Role};
@@ -22,17 +21,14 @@
 
 use crate::address;
 use crate::call::{AnnounceDecision, CoreAction, CoreCall, DirectorDump, HintSummary};
-use crate::evidence::ServerEvidence;
 use crate::follow::FollowQueue;
 use crate::hints;
-use crate::hosts::HostLists;
-use crate::index::ServerIndex;
-use crate::liveness::{self, LivenessTable};
-use crate::loads::LoadTable;
-use crate::message::{FollowReply, FollowRequest, GossipReport, ProposeOutcome, ReadOutcome};
+use crate::liveness;
+use crate::message::{FollowReply, FollowRequest, ProposeOutcome, ReadOutcome};
 use crate::metrics::DirectorMetrics;
+use crate::observer::FleetObserver;
+use crate::replicated::ReplicatedState;
 use crate::settings::DirectorSettings;
-use crate::shares::ShareTable;
 
 /// Interval between the heartbeats of a leader; well above a slow round trip between regions, which
 /// takes 60 ms.
@@ -56,9 +52,6 @@
 /// Time by which an announcement may be late, besides the missed ones.
 const ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(2);
 
-/// Silence after which a backend server or entry host is evicted from the liveness table.
-const LIVENESS_RETENTION: Duration = Duration::from_secs(60);
-
 /// Age of the last confirmation at which the state of a replica counts as stale. A replica with a
 /// stale state accepts no announcements, and entry hosts go on to another one.
 pub const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1_200);
@@ -66,12 +59,6 @@
 /// Largest difference between the times of day of two machines that is expected.
 const MAX_CLOCK_ERROR: Duration = Duration::from_secs(3);
 
-/// Log entries between snapshots.
-const SNAPSHOT_INTERVAL_ENTRIES: u64 = 512;
-
-/// Most outcomes of applied commands that are kept for answers to their proposers.
-const MAX_KEPT_OUTCOMES: usize = 256;
-
 /// Reply channel of a request to the consensus.
 enum PendingReply {
     Propose(oneshot::Sender<ProposeOutcome>),
@@ -83,30 +70,17 @@
     settings: DirectorSettings,
     metrics: DirectorMetrics,
     machine: QuorumMachine,
-    /// State after the last applied log entry.
-    state: FleetState,
-    changes: ChangeLog,
-    /// Indexes of the backend servers in `state`.
-    index: ServerIndex,
-    liveness: LivenessTable,
-    shares: ShareTable,
-    loads: LoadTable,
-    evidence: ServerEvidence,
+    replicated: ReplicatedState,
+    observer: FleetObserver,
     /// Time at which the latest announcement of each backend server was applied here.
     announced_at: BTreeMap<ids::ServerId, Instant>,
-    /// Outcomes of the latest applied commands, by log index.
-    outcomes: BTreeMap<LogIndex, CommandOutcome>,
     pending_replies: HashMap<RequestId, PendingReply>,
     follows: FollowQueue,
     /// Revision at the latest check for changes that follow requests wait for.
     checked_revision: ids::Revision,
-    host_lists: HostLists,
     /// Start of this replica.
     started_at: Instant,
     last_request: RequestId,
-    snapshot_index: LogIndex,
-    /// Index of the last log entry that was recovered from the disk.
-    recovered_index: LogIndex,
     applied_term: Term,
     /// Time at which this replica became the leader; `None` where it isn't.
     leader_since: Option<Instant>,
@@ -131,8 +105,7 @@
         recovered: RecoveredState,
         metrics: DirectorMetrics,
     ) -> Result<Self, postcard::Error> {
-        let state = decode_state(&recovered.snapshot)?;
-        let index = ServerIndex::new(&state);
+        let replicated = ReplicatedState::new(&recovered)?;
         let own = address::replica_at(settings.mesh_address);
         let seeds: Vec<_> = settings
             .seeds
@@ -146,30 +119,19 @@
         config.min_election_timeout = ELECTION_TIMEOUT;
         config.lease_duration = LEASE_DURATION;
         config.seed = rand::random();
-        let snapshot_index = recovered.snapshot.index;
         let applied_term = recovered.snapshot.term;
-        let recovered_index = recovered.entries.last().map_or(0, |entry| entry.index);
         Ok(Self {
             machine: QuorumMachine::new(now, config, recovered),
-            changes: ChangeLog::new(state.revision()),
-            loads: LoadTable::new(index.len()),
-            index,
-            state,
+            observer: FleetObserver::new(replicated.state()),
+            replicated,
             settings,
             metrics,
-            liveness: LivenessTable::new(),
-            shares: ShareTable::default(),
-            evidence: ServerEvidence::default(),
             announced_at: BTreeMap::new(),
-            outcomes: BTreeMap::new(),
             pending_replies: HashMap::new(),
             follows: FollowQueue::new(now),
             checked_revision: 0,
-            host_lists: HostLists::default(),
             started_at: now,
             last_request: 0,
-            snapshot_index,
-            recovered_index,
             applied_term,
             leader_since: None,
             confirmed_at: None,
@@ -203,7 +165,7 @@
         if self.next_expiry_check <= now {
             self.next_expiry_check = now + EXPIRY_CHECK_INTERVAL;
             self.expire_servers(now);
-            self.liveness.evict_silent(now, LIVENESS_RETENTION);
+            self.observer.evict_silent(now);
         }
         self.answer_follows(now);
     }
@@ -217,7 +179,12 @@
     pub fn handle_call(&mut self, now: Instant, call: CoreCall) {
         match call {
             CoreCall::Receive { from, message } => self.receive(now, from, *message),
-            CoreCall::Gossip { from, report } => self.merge_report(now, from, *report),
+            CoreCall::Gossip { from, report } => {
+                let latest = self.replicated.latest_revision();
+                let state = self.replicated.state();
+                self.observer
+                    .merge_report(now, from, state, latest, *report);
+            }
             CoreCall::Disk(DiskReport::Synced { token, took }) => {
                 self.metrics.replica.record_sync(took);
                 self.handle_event(now, Event::Persisted { token });
@@ -233,8 +200,8 @@
             }
             CoreCall::Follow { request, reply } => self.hold_follow(now, *request, reply),
             CoreCall::Hosts(reply) => {
-                self.refresh_hosts(now);
-                let _ = reply.send(self.host_lists.current().clone());
+                self.observer.refresh_hosts(now);
+                let _ = reply.send(self.observer.host_lists.current().clone());
             }
             CoreCall::Dump(reply) => {
                 let _ = reply.send(self.dump(now));
@@ -322,26 +289,14 @@
             }
             return;
         };
-        let command: FleetCommand = match postcard::from_bytes(&bytes) {
-            Ok(command) => command,
-            Err(e) => {
-                log::error!(target: "state", "committed command skipped, as it can't be decoded; index={} error={e}", entry.index);
-                return;
-            }
+        let Some((outcome, changes)) = self.replicated.apply(entry.index, &bytes) else {
+            return;
         };
-        let (outcome, changes) = self.state.apply(entry.index, command);
         for change in &changes {
-            if let Some(shift) = self.index.apply(change) {
-                self.loads.shift(shift);
-            }
+            self.observer.apply_change(change);
             self.record_change(now, entry.index, change);
         }
-        self.changes.append(entry.index, changes);
         self.metrics.count_command(outcome);
-        self.outcomes.insert(entry.index, outcome);
-        while self.outcomes.len() > MAX_KEPT_OUTCOMES {
-            self.outcomes.pop_first();
-        }
     }
 
     /// Logs a change of the state and updates the liveness of the backend servers that it concerns.
@@ -360,7 +315,9 @@
                 self.announced_at.insert(record.id.clone(), now);
                 let cold = self.remaining_cold(index, record);
                 if !cold.is_zero() {
-                    self.liveness.set_cold(now, &record.id, record.born, cold);
+                    self.observer
+                        .liveness
+                        .set_cold(now, &record.id, record.born, cold);
                 }
             }
             FleetChange::ServerGone(id) => {
@@ -372,12 +329,15 @@
             }
             FleetChange::Readmitted(zone) => {
                 log::info!(target: "state", "zone readmitted; zone={zone} index={index}");
-                let site = self.state.site();
-                let servers = self.state.servers().filter(|server| server.zone == *zone);
+                let state = self.replicated.state();
+                let site = state.site();
+                let servers = state.servers().filter(|server| server.zone == *zone);
                 for server in servers {
                     let spec = site.and_then(|site| site.site.service(&server.service));
                     let cold = spec.map_or(Duration::ZERO, |spec| spec.cold_period);
-                    self.liveness.set_cold(now, &server.id, server.born, cold);
+                    self.observer
+                        .liveness
+                        .set_cold(now, &server.id, server.born, cold);
                 }
             }
         }
@@ -388,7 +348,7 @@
     /// An announcement in the log of before a restart may be old, so its server counts as cold only if
     /// it started recently. The next announcement tells exactly.
     fn remaining_cold(&self, index: LogIndex, record: &ServerRecord) -> Duration {
-        if index > self.recovered_index {
+        if !self.replicated.is_recovered(index) {
             return record.cold;
         }
         let born = SystemTime::UNIX_EPOCH + Duration::from_millis(record.born);
@@ -399,39 +359,18 @@
     }
 
     fn restore(&mut self, now: Instant, snapshot: &LogSnapshot) {
-        match decode_state(snapshot) {
-            Ok(state) => {
-                log::info!(
-                    target: "state",
-                    "state restored from a snapshot of the leader; index={} revision={}",
-                    snapshot.index,
-                    state.revision()
-                );
-                self.changes = ChangeLog::new(state.revision());
-                self.announced_at = state.servers().map(|s| (s.id.clone(), now)).collect();
-                self.index = ServerIndex::new(&state);
-                self.loads = LoadTable::new(self.index.len());
-                self.state = state;
-                self.snapshot_index = snapshot.index;
-                self.applied_term = snapshot.term;
-            }
-            Err(e) => {
-                log::error!(target: "state", "snapshot of the leader ignored, as it can't be decoded; index={} error={e}", snapshot.index);
-            }
+        if self.replicated.restore(snapshot) {
+            let state = self.replicated.state();
+            self.announced_at = state.servers().map(|s| (s.id.clone(), now)).collect();
+            self.observer.set_state(state);
+            self.applied_term = snapshot.term;
         }
     }
 
     fn snapshot_if_due(&mut self, now: Instant) {
         let index = self.machine.applied_index();
-        if index < self.snapshot_index + SNAPSHOT_INTERVAL_ENTRIES {
-            return;
-        }
-        self.snapshot_index = index;
-        match postcard::to_allocvec(&self.state) {
-            Ok(data) => self.handle_event(now, Event::SnapshotTaken { index, data }),
-            Err(e) => {
-                log::error!(target: "state", "snapshot skipped, as the state can't be encoded; index={index} error={e}")
-            }
+        if let Some(data) = self.replicated.take_snapshot(index) {
+            self.handle_event(now, Event::SnapshotTaken { index, data });
         }
     }
 
@@ -468,7 +407,8 @@
             Some(PendingReply::Read(reply)) => {
                 let read_outcome = match outcome {
                     AnswerOutcome::Confirmed => {
-                        ReadOutcome::Current(self.state.site().map(|site| site.document.clone()))
+                        let site = self.replicated.state().site();
+                        ReadOutcome::Current(site.map(|site| site.document.clone()))
                     }
                     AnswerOutcome::NotLeader { leader } => ReadOutcome::NotLeader(*leader),
                     AnswerOutcome::Committed { .. } | AnswerOutcome::Unknown => {
@@ -483,8 +423,8 @@
 
     fn propose_outcome(&self, outcome: &AnswerOutcome) -> ProposeOutcome {
         match outcome {
-            AnswerOutcome::Committed { index } => match self.outcomes.get(index) {
-                Some(outcome) => ProposeOutcome::Done(*outcome),
+            AnswerOutcome::Committed { index } => match self.replicated.outcome(*index) {
+                Some(outcome) => ProposeOutcome::Done(outcome),
                 None => ProposeOutcome::Unknown,
             },
             AnswerOutcome::NotLeader { leader } => ProposeOutcome::NotLeader(*leader),
@@ -500,9 +440,10 @@
         if !confirmed {
             return AnnounceDecision::Stale;
         }
-        self.liveness
+        self.observer
+            .liveness
             .record_server(now, &record.id, record.born, record.cold);
-        if self.state.would_change(record) {
+        if self.replicated.state().would_change(record) {
             return AnnounceDecision::Propose;
         }
         AnnounceDecision::Unchanged
@@ -515,65 +456,27 @@
         mut request: FollowRequest,
         reply: oneshot::Sender<FollowReply>,
     ) {
-        let shares = std::mem::take(&mut request.shares);
-        let host = &request.host.name;
-        self.shares.record_host(now, host, &request.region, shares);
-        let readings_fit = request.revision == Some(self.changes.latest_revision());
-        if readings_fit {
-            self.loads.record_host(now, &request.loads);
-        }
-        let index = readings_fit.then_some(&self.index);
-        if self.evidence.record_host(now, &self.state, index, &request) {
-            // The other replicas learn of a server that is leaving at once.
+        let latest = self.replicated.latest_revision();
+        let state = self.replicated.state();
+        if self.observer.record_host(now, state, latest, &mut request) {
             self.next_report = now;
         }
-        if self.liveness.record_host(now, &request.host) {
-            let host = &request.host;
-            log::info!(
-                target: "hosts",
-                "entry host changed; host={} address={} zone={} ready={}",
-                host.name, host.address, host.zone, host.ready
-            );
-            // The other replicas get the status of a new or stopping host at once.
-            self.next_report = now;
-        }
-        if request.revision != Some(self.changes.latest_revision()) {
+        if request.revision != Some(latest) {
             self.follows.mark_changed();
         }
         self.follows.push(now, request, reply);
     }
 
-    /// Merges the observations of another replica.
-    fn merge_report(&mut self, now: Instant, from: ReplicaId, mut report: GossipReport) {
-        let shares = std::mem::take(&mut report.shares);
-        self.shares.record_replica(now, from, shares);
-        let readings_fit = report.revision == self.changes.latest_revision();
-        if readings_fit {
-            self.loads.merge_sums(now, &report.loads);
-        }
-        let index = readings_fit.then_some(&self.index);
-        self.evidence.merge_report(now, &self.state, index, &report);
-        self.liveness.merge_report(now, report);
-    }
-
-    /// Updates the list of entry hosts that are alive.
-    fn refresh_hosts(&mut self, now: Instant) {
-        if let Some(hosts) = self.liveness.take_changed_hosts(now) {
-            self.host_lists.set(hosts);
-        }
-    }
-
     /// Answers the follow requests that are outdated or due, in batches. A change of the entry hosts
     /// alone doesn't make a request outdated: it goes out with the next answer.
     fn answer_follows(&mut self, now: Instant) {
-        let latest = self.changes.latest_revision();
-        if self.evidence.refresh(now) {
+        let latest = self.replicated.latest_revision();
+        if self.observer.refresh_outages(now) {
             // The other replicas may lack the reports, and get none while hosts avoid the server.
             self.next_report = now;
         }
-        let became_cold = self.liveness.take_became_cold();
-        let hinted = self.evidence.take_changed();
-        if latest != self.checked_revision || became_cold || hinted {
+        let observed = self.observer.take_changed();
+        if latest != self.checked_revision || observed {
             self.checked_revision = latest;
             self.follows.mark_changed();
         }
@@ -584,9 +487,9 @@
         {
             return;
         }
-        let cold = self.liveness.cold(now);
+        let cold = self.observer.liveness.cold(now);
         let cold_digest = liveness::cold_digest(now, self.started_at, &cold);
-        let hints = self.evidence.hints(now);
+        let hints = self.observer.hints(now);
         let hints_digest = hints::digest(now, self.started_at, &hints);
         let batch = self.follows.take_batch(now, |request| {
             request.revision != Some(latest)
@@ -596,9 +499,9 @@
         if batch.is_empty() {
             return;
         }
-        self.refresh_hosts(now);
-        let shares = self.shares.means(now);
-        let loads = self.loads.vector(now, latest);
+        self.observer.refresh_hosts(now);
+        let shares = self.observer.shares(now);
+        let loads = self.observer.loads(now, latest);
         let replicas = self.replicas();
         let confirmed_ago = self
             .confirmed_at
@@ -606,14 +509,14 @@
         for follow in batch {
             let request = follow.request;
             let reply = FollowReply {
-                update: self.update_since(request.revision),
+                update: self.replicated.update_since(request.revision),
                 confirmed_ago,
                 cold: (request.cold_digest != cold_digest).then(|| cold.clone()),
                 cold_digest,
                 hints: (request.hints_digest != hints_digest).then(|| hints.clone()),
                 hints_digest,
-                hosts: self.host_lists.update_since(request.hosts_digest),
-                hosts_digest: self.host_lists.current().digest(),
+                hosts: self.observer.host_lists.update_since(request.hosts_digest),
+                hosts_digest: self.observer.host_lists.current().digest(),
                 shares: shares.get(&request.region).cloned().unwrap_or_default(),
                 loads: loads.clone(),
                 replicas: replicas.clone(),
@@ -624,12 +527,6 @@
         }
     }
 
-    /// Returns the update for a copy of the state at a revision; a complete one for `None`.
-    fn update_since(&self, revision: Option<ids::Revision>) -> FleetUpdate {
-        let changes = revision.and_then(|revision| self.changes.update_since(revision));
-        changes.unwrap_or_else(|| FleetUpdate::Whole(Box::new(FleetView::of(&self.state))))
-    }
-
     /// Returns the voters.
     fn replicas(&self) -> Vec<ReplicaId> {
         self.machine.voters().collect()
@@ -637,14 +534,10 @@
 
     /// Queues the report to the other replicas, where a process called this one since the last.
     fn queue_report(&mut self, now: Instant) {
-        let mut report = self.liveness.take_report(now);
-        report.shares = self.shares.report(now);
-        report.revision = self.changes.latest_revision();
-        report.loads = self.loads.take_sums();
-        self.evidence.fill_report(now, &self.index, &mut report);
-        if report.servers.is_empty() && report.hosts.is_empty() && report.hints.is_empty() {
+        let latest = self.replicated.latest_revision();
+        let Some(report) = self.observer.take_report(now, latest) else {
             return;
-        }
+        };
         let own = address::replica_at(self.settings.mesh_address);
         let others = self.replicas().into_iter().filter(|other| *other != own);
         self.actions
@@ -663,9 +556,9 @@
             return;
         }
         let mut silent = Vec::new();
-        for server in self.state.servers() {
+        for server in self.replicated.state().servers() {
             let announced_at = self.announced_at.get(&server.id).copied();
-            let seen_at = self.liveness.last_seen(&server.id, server.born);
+            let seen_at = self.observer.liveness.last_seen(&server.id, server.born);
             let latest = announced_at.max(seen_at).unwrap_or(since).max(since);
             if now >= latest + limit {
                 silent.push((server.id.clone(), server.born));
@@ -682,32 +575,21 @@
     }
 
     fn dump(&mut self, now: Instant) -> DirectorDump {
-        self.refresh_hosts(now);
-        let hosts = self.host_lists.current().hosts().keys();
+        self.observer.refresh_hosts(now);
+        let hinted = self.observer.hints(now);
+        let hosts = self.observer.host_lists.current().hosts().keys();
+        let state = self.replicated.state();
         DirectorDump {
             quorum: self.machine.report(now),
-            revision: self.state.revision(),
-            version: self.state.site().map_or(0, |site| site.version),
-            servers: self.state.servers().count(),
+            revision: state.revision(),
+            version: state.site().map_or(0, |site| site.version),
+            servers: state.servers().count(),
             hosts: hosts.cloned().collect(),
-            evacuated: self.state.evacuated().cloned().collect(),
-            hinted: self
-                .evidence
-                .hints(now)
-                .iter()
-                .map(HintSummary::from)
-                .collect(),
+            evacuated: state.evacuated().cloned().collect(),
+            hinted: hinted.iter().map(HintSummary::from).collect(),
             confirmed_ago_ms: self
                 .confirmed_at
                 .map(|confirmed_at| now.saturating_duration_since(confirmed_at).as_millis()),
         }
     }
 }
-
-/// Decodes the state of a snapshot; the empty state for the snapshot at index 0, which has no data.
-fn decode_state(snapshot: &LogSnapshot) -> Result<FleetState, postcard::Error> {
-    if snapshot.index == 0 {
-        return Ok(FleetState::new());
-    }
-    postcard::from_bytes(&snapshot.data)
-}
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -9,7 +9,9 @@
 //! | [`address`] | replica ids that encode an address |
 //! | [`message`] | messages between processes |
 //! | [`call`] | calls to the core, and the actions that it returns |
-//! | [`core`] | consensus, replicated state, liveness, answers to entry hosts |
+//! | [`core`] | consensus, announcements, answers to entry hosts |
+//! | `replicated` | committed log entries applied to the fleet state |
+//! | `observer` | reports of all processes, and those to the other replicas |
 //! | [`liveness`] | failure detection |
 //! | [`directory`] | choice of the entry hosts for a client |
 //! | [`evidence`] | reports about backend servers, and the hints that follow |
@@ -40,7 +42,9 @@
 pub mod mesh;
 pub mod message;
 pub mod metrics;
+mod observer;
 pub mod outages;
+mod replicated;
 pub mod service;
 pub mod settings;
 pub mod shares;
--- /dev/null
+++ b/crates/director/src/replicated.rs
@@ -0,0 +1,138 @@
+//! The replicated state of a control replica: committed log entries applied to the fleet state.
+
+use std::collections::BTreeMap;
+
+use fleet::change::{ChangeLog, FleetChange, FleetUpdate, FleetView};
+use fleet::command::{CommandOutcome, FleetCommand};
+use fleet::ids;
+use fleet::state::FleetState;
+use quorum::entry::{LogSnapshot, RecoveredState};
+use quorum::ids::LogIndex;
+
+/// Log entries between snapshots.
+const SNAPSHOT_INTERVAL_ENTRIES: u64 = 512;
+
+/// Most outcomes of applied commands that are kept for answers to their proposers.
+const MAX_KEPT_OUTCOMES: usize = 256;
+
+/// State after the last applied log entry, and what led to it.
+#[derive(Debug)]
+pub(crate) struct ReplicatedState {
+    state: FleetState,
+    changes: ChangeLog,
+    /// Outcomes of the latest applied commands, by log index.
+    outcomes: BTreeMap<LogIndex, CommandOutcome>,
+    snapshot_index: LogIndex,
+    /// Index of the last log entry that was recovered from the disk.
+    recovered_index: LogIndex,
+}
+
+impl ReplicatedState {
+    /// Creates the state of the snapshot that was recovered from the disk.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the snapshot can't be decoded.
+    pub(crate) fn new(recovered: &RecoveredState) -> Result<Self, postcard::Error> {
+        let state = decode_state(&recovered.snapshot)?;
+        Ok(Self {
+            changes: ChangeLog::new(state.revision()),
+            state,
+            outcomes: BTreeMap::new(),
+            snapshot_index: recovered.snapshot.index,
+            recovered_index: recovered.entries.last().map_or(0, |entry| entry.index),
+        })
+    }
+
+    /// Returns the fleet state.
+    pub(crate) fn state(&self) -> &FleetState {
+        &self.state
+    }
+
+    /// Returns the revision of the latest change.
+    pub(crate) fn latest_revision(&self) -> ids::Revision {
+        self.changes.latest_revision()
+    }
+
+    /// Returns whether a log entry was recovered from the disk, and so may be old.
+    pub(crate) fn is_recovered(&self, index: LogIndex) -> bool {
+        index <= self.recovered_index
+    }
+
+    /// Applies a committed command. Returns its outcome and the changes; `None` where the command can't
+    /// be decoded.
+    pub(crate) fn apply(
+        &mut self,
+        index: LogIndex,
+        command: &[u8],
+    ) -> Option<(CommandOutcome, Vec<FleetChange>)> {
+        let command: FleetCommand = match postcard::from_bytes(command) {
+            Ok(command) => command,
+            Err(e) => {
+                log::error!(target: "state", "committed command skipped, as it can't be decoded; index={index} error={e}");
+                return None;
+            }
+        };
+        let (outcome, changes) = self.state.apply(index, command);
+        self.changes.append(index, changes.clone());
+        self.outcomes.insert(index, outcome);
+        while self.outcomes.len() > MAX_KEPT_OUTCOMES {
+            self.outcomes.pop_first();
+        }
+        Some((outcome, changes))
+    }
+
+    /// Replaces the state by a snapshot of the leader. Returns whether it can be decoded.
+    pub(crate) fn restore(&mut self, snapshot: &LogSnapshot) -> bool {
+        match decode_state(snapshot) {
+            Ok(state) => {
+                log::info!(
+                    target: "state",
+                    "state restored from a snapshot of the leader; index={} revision={}",
+                    snapshot.index,
+                    state.revision()
+                );
+                self.changes = ChangeLog::new(state.revision());
+                self.state = state;
+                self.snapshot_index = snapshot.index;
+                true
+            }
+            Err(e) => {
+                log::error!(target: "state", "snapshot of the leader ignored, as it can't be decoded; index={} error={e}", snapshot.index);
+                false
+            }
+        }
+    }
+
+    /// Returns the encoded state, if a snapshot is due.
+    pub(crate) fn take_snapshot(&mut self, applied: LogIndex) -> Option<Vec<u8>> {
+        if applied < self.snapshot_index + SNAPSHOT_INTERVAL_ENTRIES {
+            return None;
+        }
+        self.snapshot_index = applied;
+        let encoded = postcard::to_allocvec(&self.state);
+        if let Err(e) = &encoded {
+            log::error!(target: "state", "snapshot skipped, as the state can't be encoded; index={applied} error={e}");
+        }
+        encoded.ok()
+    }
+
+    /// Returns the outcome of the command at an index; `None` where it isn't kept.
+    pub(crate) fn outcome(&self, index: LogIndex) -> Option<CommandOutcome> {
+        self.outcomes.get(&index).copied()
+    }
+
+    /// Returns the update for a copy of the state at a revision; a complete one for `None`.
+    pub(crate) fn update_since(&self, revision: Option<ids::Revision>) -> FleetUpdate {
+        let changes = revision.and_then(|revision| self.changes.update_since(revision));
+        changes.unwrap_or_else(|| FleetUpdate::Whole(Box::new(FleetView::of(&self.state))))
+    }
+}
+
+/// Decodes the state of a snapshot; the empty state for the snapshot at index 0, which has no data.
+fn decode_state(snapshot: &LogSnapshot) -> Result<FleetState, postcard::Error> {
+    if snapshot.index == 0 {
+        return Ok(FleetState::new());
+    }
+    postcard::from_bytes(&snapshot.data)
+}
