perf(director): outages are checked ten times a second, not with each call

Change: the check is a timer of the core, every 100 ms. An outage is found at most 100 ms later than before, after 800 ms of confirmation.

--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -46,6 +46,9 @@
 /// Interval between checks for silent backend servers.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval between checks for backend servers that answer no entry host. Each one looks at all reports.
+const OUTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Announcements that a backend server may miss before it is removed.
 const MAX_MISSED_ANNOUNCEMENTS: u32 = 4;
 
@@ -90,6 +93,7 @@
     doubted_until: Instant,
     next_report: Instant,
     next_expiry_check: Instant,
+    next_outage_check: Instant,
     actions: Vec<CoreAction>,
 }
 
@@ -138,6 +142,7 @@
             doubted_until: now,
             next_report: now + REPORT_INTERVAL,
             next_expiry_check: now + EXPIRY_CHECK_INTERVAL,
+            next_outage_check: now + OUTAGE_CHECK_INTERVAL,
             actions: Vec::new(),
         })
     }
@@ -148,7 +153,8 @@
             .machine
             .deadline()
             .min(self.next_report)
-            .min(self.next_expiry_check);
+            .min(self.next_expiry_check)
+            .min(self.next_outage_check);
         let batch = self.follows.deadline();
         batch.map_or(deadline, |batch| batch.min(deadline))
     }
@@ -158,6 +164,13 @@
         if self.machine.deadline() <= now {
             self.handle_event(now, Event::Tick);
         }
+        if self.next_outage_check <= now {
+            self.next_outage_check = now + OUTAGE_CHECK_INTERVAL;
+            if self.observer.refresh_outages(now) {
+                // The other replicas may lack the reports, and get none while hosts avoid the server.
+                self.next_report = now;
+            }
+        }
         if self.next_report <= now {
             self.next_report = now + REPORT_INTERVAL;
             self.queue_report(now);
@@ -471,10 +484,6 @@
     /// alone doesn't make a request outdated: it goes out with the next answer.
     fn answer_follows(&mut self, now: Instant) {
         let latest = self.replicated.latest_revision();
-        if self.observer.refresh_outages(now) {
-            // The other replicas may lack the reports, and get none while hosts avoid the server.
-            self.next_report = now;
-        }
         let observed = self.observer.take_changed();
         if latest != self.checked_revision || observed {
             self.checked_revision = latest;
