--- a/crates/balance/tests/notices.rs
+++ b/crates/balance/tests/notices.rs
@@ -13,13 +13,13 @@
 
 use balance::balancer::LoadBalancer;
 use balance::notice::{ServerNotice, MAX_REST};
-use balance::query::{AttemptReport, ChosenServer, RefusalCause};
+use balance::query::{AttemptReport, RefusalCause};
 use balance::server::{AttemptEnd, ReportedLoad};
 use fleet::change::FleetChange;
 use fleet::hint::{HintKind, ServerHint, ServerIncarnation};
 use fleet::server::ServerRecord;
 use rstest::rstest;
-use simulation::{query, record, settings, view};
+use simulation::{finish, query, record, settings, view};
 
 const ZONES: [&str; 1] = ["east-a"];
 
@@ -35,17 +35,6 @@
     balancer
 }
 
-fn finish(balancer: &mut LoadBalancer, now: Instant, chosen: &ChosenServer, end: AttemptEnd) {
-    let report = AttemptReport {
-        end,
-        took: Duration::from_millis(10),
-        load: None,
-        object: None,
-        forecast: chosen.forecast,
-    };
-    balancer.finish(now, chosen.key, report);
-}
-
 /// Returns whether the only server gets a request; the attempt is cancelled at once.
 fn is_chosen(balancer: &mut LoadBalancer, now: Instant) -> bool {
     let Ok(chosen) = balancer.choose(now, &query(None)) else {
--- a/crates/balance/tests/outages.rs
+++ b/crates/balance/tests/outages.rs
@@ -12,11 +12,12 @@
 use std::time::{Duration, Instant};
 
 use balance::balancer::LoadBalancer;
-use balance::query::{AttemptReport, ChosenServer};
 use balance::server::AttemptEnd;
 use fleet::hint::{HintKind, ServerHint, ServerIncarnation};
 use rstest::rstest;
-use simulation::{query, record, settings, view, RequestTimes, SimulatedFleet, WindowCounts};
+use simulation::{
+    finish, query, record, settings, view, RequestTimes, SimulatedFleet, WindowCounts,
+};
 
 const ZONES: [&str; 1] = ["east-a"];
 const HOSTS: [&str; 2] = ["host-0", "host-1"];
@@ -46,17 +47,6 @@
     hints.collect()
 }
 
-fn finish(balancer: &mut LoadBalancer, now: Instant, chosen: &ChosenServer, end: AttemptEnd) {
-    let report = AttemptReport {
-        end,
-        took: Duration::from_millis(10),
-        load: None,
-        object: None,
-        forecast: chosen.forecast,
-    };
-    balancer.finish(now, chosen.key, report);
-}
-
 /// Returns how many of 200 requests for different objects go to a server at once.
 fn count_at_once(balancer: &mut LoadBalancer, now: Instant, id: &str) -> usize {
     let chosen: Vec<_> = (0..200)
--- a/crates/balance/tests/reach.rs
+++ b/crates/balance/tests/reach.rs
@@ -11,11 +11,11 @@
 use std::time::{Duration, Instant};
 
 use balance::balancer::LoadBalancer;
-use balance::query::{AttemptReport, ChosenServer, LoadRefusal, RefusalCause, ServerQuery};
+use balance::query::{LoadRefusal, RefusalCause, ServerQuery};
 use balance::server::AttemptEnd;
 use fleet::change::FleetChange;
 use rstest::rstest;
-use simulation::{query, record, settings, view};
+use simulation::{finish, query, record, settings, view};
 
 const ZONES: [&str; 2] = ["east-a", "east-b"];
 
@@ -33,22 +33,6 @@
     balancer
 }
 
-fn finish(
-    balancer: &mut LoadBalancer,
-    now: Instant,
-    chosen: &ChosenServer,
-    end: AttemptEnd,
-) -> bool {
-    let report = AttemptReport {
-        end,
-        took: Duration::from_millis(10),
-        load: None,
-        object: None,
-        forecast: chosen.forecast,
-    };
-    balancer.finish(now, chosen.key, report)
-}
-
 /// Result of a request with its attempts.
 #[derive(Debug)]
 struct RequestResult {
--- a/crates/balance/tests/simulation/mod.rs
+++ b/crates/balance/tests/simulation/mod.rs
@@ -25,6 +25,23 @@
 
 pub const SERVICE: &str = "reads";
 
+/// Ends an attempt that took 10 ms. Returns whether the server's zone counts as cut off from now on.
+pub fn finish(
+    balancer: &mut LoadBalancer,
+    now: Instant,
+    chosen: &ChosenServer,
+    end: AttemptEnd,
+) -> bool {
+    let report = AttemptReport {
+        end,
+        took: Duration::from_millis(10),
+        load: None,
+        object: None,
+        forecast: chosen.forecast,
+    };
+    balancer.finish(now, chosen.key, report)
+}
+
 /// Seconds between two calls of a host to a control replica, which exchange spill shares and loads.
 const EXCHANGE_INTERVAL_SECONDS: f64 = 0.35;
 
--- a/crates/director/tests/outages.rs
+++ b/crates/director/tests/outages.rs
@@ -11,7 +11,6 @@
 use director::outages::OutageTable;
 use fleet::command::FleetCommand;
 use fleet::hint::{HintKind, ServerHint, ServerIncarnation};
-use fleet::server::{ServerRecord, ServerState};
 use fleet::state::FleetState;
 use rstest::rstest;
 
@@ -145,17 +144,7 @@
 
 /// The committed state with server `s1`.
 fn state_with_server() -> FleetState {
-    let record = ServerRecord {
-        id: "s1".to_string(),
-        service: "reads".to_string(),
-        zone: "east-a".to_string(),
-        address: "10.0.2.1:80".parse().unwrap(),
-        version: "1".to_string(),
-        slots: 4,
-        state: ServerState::Ready,
-        born: 1,
-        cold: Duration::ZERO,
-    };
+    let record = support::server("s1", 1, Duration::ZERO);
     let mut state = FleetState::new();
     state.apply(1, FleetCommand::Announce(record));
     state
--- a/crates/director/tests/restart.rs
+++ b/crates/director/tests/restart.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, SystemTime};
 
 use director::message::FollowReply;
-use fleet::server::{ServerRecord, ServerState};
+use fleet::server::ServerRecord;
 use support::OnlyReplica;
 
 #[test]
@@ -26,17 +26,8 @@
 
 fn cold_server(id: &str, age: Duration) -> ServerRecord {
     let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    ServerRecord {
-        id: id.to_string(),
-        born: (born.unwrap() - age).as_millis() as u64,
-        service: "reads".to_string(),
-        address: "10.0.2.1:80".parse().unwrap(),
-        zone: "east-a".to_string(),
-        version: "v1".to_string(),
-        slots: 4,
-        state: ServerState::Ready,
-        cold: Duration::from_secs(3),
-    }
+    let born = (born.unwrap() - age).as_millis() as u64;
+    support::server(id, born, Duration::from_secs(3))
 }
 
 /// After all processes lost power, hosts must not hold back requests from servers that have been warm
--- a/crates/director/tests/support/mod.rs
+++ b/crates/director/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use director::metrics::DirectorMetrics;
 use director::settings::DirectorSettings;
 use fleet::command::{CommandOutcome, FleetCommand};
-use fleet::server::ServerRecord;
+use fleet::server::{ServerRecord, ServerState};
 use quorum::entry::RecoveredState;
 use store::writer::DiskReport;
 use telemetry::metrics::MetricRegistry;
@@ -125,6 +125,21 @@
     }
 }
 
+/// Returns a backend server that is ready.
+pub fn server(id: &str, born: u64, cold: Duration) -> ServerRecord {
+    ServerRecord {
+        id: id.to_string(),
+        born,
+        service: "reads".to_string(),
+        address: "10.0.2.1:80".parse().unwrap(),
+        zone: "east-a".to_string(),
+        version: "v1".to_string(),
+        slots: 4,
+        state: ServerState::Ready,
+        cold,
+    }
+}
+
 /// Returns the call of an entry host that has the state at a revision and nothing to report.
 pub fn follow_request(host: &str, revision: Option<u64>) -> FollowRequest {
     FollowRequest {
--- a/crates/quorum/tests/bridges.rs
+++ b/crates/quorum/tests/bridges.rs
@@ -20,16 +20,6 @@
 /// 1.2 s, and a second one after a split vote.
 const ELECTION_TIME: Duration = Duration::from_millis(2_500);
 
-fn running_cluster(seed: u64) -> SimulatedCluster {
-    let mut cluster = SimulatedCluster::new(5, seed, None);
-    cluster.bootstrap();
-    for id in cluster.ids() {
-        cluster.start(id);
-    }
-    cluster.run_for(Duration::from_secs(3)).unwrap();
-    cluster
-}
-
 /// Returns a leader that reaches a quorum, by a proposal that is committed while the cut lasts.
 fn committing_leader(cluster: &mut SimulatedCluster) -> Option<ReplicaId> {
     let leader = cluster.leader()?;
@@ -52,7 +42,7 @@
     #[values(false, true)] one_way: bool,
     #[values(1, 2, 3, 4, 5)] seed: u64,
 ) {
-    let mut cluster = running_cluster(seed);
+    let mut cluster = SimulatedCluster::running(seed);
     let ids = cluster.ids();
     let (group, rest) = ids.split_at(first);
     cluster.cut_groups(group, &rest[..second], one_way);
@@ -69,7 +59,7 @@
 /// The bridge alone can lead all: without it, no group has a quorum, and nothing may be committed.
 #[test]
 fn without_the_bridge_no_group_commits() {
-    let mut cluster = running_cluster(6);
+    let mut cluster = SimulatedCluster::running(6);
     let ids = cluster.ids();
     cluster.cut_groups(&ids[..2], &ids[3..], false);
     cluster.run_for(ELECTION_TIME).unwrap();
--- a/crates/quorum/tests/restart.rs
+++ b/crates/quorum/tests/restart.rs
@@ -17,23 +17,13 @@
 /// Minimum election timeout; longer than any lease.
 const MIN_ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
 
-fn running_cluster(seed: u64) -> SimulatedCluster {
-    let mut cluster = SimulatedCluster::new(5, seed, None);
-    cluster.bootstrap();
-    for id in cluster.ids() {
-        cluster.start(id);
-    }
-    cluster.run_for(Duration::from_secs(3)).unwrap();
-    cluster
-}
-
 /// A leader's lease ends when its process ends. If the leader itself restarts, the others must not
 /// wait for the end of the lease.
 #[rstest]
 fn killed_replicas_elect_a_leader_before_the_lease_would_have_ended(
     #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
 ) {
-    let mut cluster = running_cluster(seed);
+    let mut cluster = SimulatedCluster::running(seed);
     let leader = cluster.leader().expect("a leader");
     cluster.propose(leader, b"before").unwrap();
     cluster.run_for(Duration::from_millis(300)).unwrap();
@@ -53,7 +43,7 @@
 #[test]
 fn killed_replicas_elect_a_leader_soon_after_the_lease_of_a_lost_one() {
     for seed in 1..=40 {
-        let mut cluster = running_cluster(seed);
+        let mut cluster = SimulatedCluster::running(seed);
         let leader = cluster.leader().expect("a leader");
         for id in cluster.ids() {
             cluster.crash(id);
@@ -72,7 +62,7 @@
 /// without waiting for the full election timeout.
 #[test]
 fn a_leader_is_elected_soon_if_the_former_leader_lacks_entries() {
-    let mut cluster = running_cluster(3);
+    let mut cluster = SimulatedCluster::running(3);
     let leader = cluster.leader().expect("a leader");
     cluster.conditions.max_sync_time = Duration::from_millis(200);
     cluster.propose(leader, b"late").unwrap();
@@ -92,7 +82,7 @@
 /// A follower that restarts must still respect the lease of its leader.
 #[test]
 fn restarted_followers_respect_the_lease_of_an_isolated_leader() {
-    let mut cluster = running_cluster(4);
+    let mut cluster = SimulatedCluster::running(4);
     let leader = cluster.leader().expect("a leader");
     cluster.isolate(leader);
     for id in cluster.ids().into_iter().filter(|id| *id != leader) {
--- a/crates/quorum/tests/support/cluster.rs
+++ b/crates/quorum/tests/support/cluster.rs
@@ -109,6 +109,17 @@
         cluster
     }
 
+    /// Creates five replicas without faults that have run for 3 s.
+    pub fn running(seed: u64) -> Self {
+        let mut cluster = Self::new(5, seed, None);
+        cluster.bootstrap();
+        for id in cluster.ids() {
+            cluster.start(id);
+        }
+        cluster.run_for(Duration::from_secs(3)).unwrap();
+        cluster
+    }
+
     /// Writes the bootstrap entry to all disks.
     pub fn bootstrap(&mut self) {
         let members: Vec<_> = self
