--- a/crates/director/tests/many.rs
+++ b/crates/director/tests/many.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use director::message::FollowReply;
-use fleet::change::FleetUpdate;
-use fleet::command::FleetCommand;
+use fleet::change::{FleetChange, FleetUpdate};
+use fleet::command::{FleetCommand, SiteReplacement};
 use fleet::server::{ServerRecord, ServerState};
+use fleet::site::SiteConfig;
 use support::OnlyReplica;
 use tokio::sync::oneshot;
 
@@ -49,6 +50,14 @@
     postcard::to_allocvec(reply).unwrap().len()
 }
 
+/// Handles the calls of all hosts, whose copies have a revision.
+fn follow_all(replica: &mut OnlyReplica, revision: u64) -> Vec<oneshot::Receiver<FollowReply>> {
+    let hosts = 0..HOSTS;
+    hosts
+        .map(|host| replica.begin_follow(host, Some(revision)))
+        .collect()
+}
+
 fn take_replies(answers: Vec<oneshot::Receiver<FollowReply>>) -> Vec<FollowReply> {
     let replies = answers.into_iter();
     replies
@@ -83,12 +92,6 @@
     let FleetUpdate::Whole(view) = replica.follow().update else {
         panic!("a whole state is due");
     };
-    let follow_all = |replica: &mut OnlyReplica, revision: u64| -> Vec<_> {
-        let hosts = 0..HOSTS;
-        hosts
-            .map(|host| replica.begin_follow(host, Some(revision)))
-            .collect()
-    };
     let leaving = SERVERS / 3;
     let commands = (0..leaving).map(|number| FleetCommand::Leave {
         id: id(number),
@@ -103,6 +106,89 @@
     assert_eq!(first + second, leaving);
 }
 
+/// All replicas were killed at once, and the hosts went on with their copies. A few servers left just
+/// before. The hosts must get these changes, not the whole state all at once.
+#[test]
+fn hosts_get_differences_after_a_restart_of_all_replicas() {
+    let mut replica = replica_with_servers();
+    let FleetUpdate::Whole(view) = replica.follow().update else {
+        panic!("a whole state is due");
+    };
+    let leaving = 5;
+    replica.execute((0..leaving).map(|number| FleetCommand::Leave {
+        id: id(number),
+        born: None,
+    }));
+    let mut restarted = OnlyReplica::recover(replica.disk);
+    restarted.advance(Duration::from_secs(1));
+    let answers = follow_all(&mut restarted, view.revision);
+    restarted.advance(Duration::from_millis(60));
+    let replies = take_replies(answers);
+    assert!(replies.iter().all(|reply| reply.confirmed_ago.is_some()));
+    assert_eq!(count_changes(replies).0, leaving);
+}
+
+/// A third of the hosts restarts. Only these get the whole state; the others are neither woken nor
+/// delayed, as a change of the hosts goes out with their next answers.
+#[test]
+fn restarted_hosts_do_not_wake_the_others() {
+    let mut replica = replica_with_servers();
+    let FleetUpdate::Whole(view) = replica.follow().update else {
+        panic!("a whole state is due");
+    };
+    let restarted = HOSTS / 3;
+    let mut waiting: Vec<_> = (restarted..HOSTS)
+        .map(|host| replica.begin_follow(host, Some(view.revision)))
+        .collect();
+    let answers: Vec<_> = (0..restarted)
+        .map(|host| replica.begin_follow(host, None))
+        .collect();
+    replica.advance(Duration::from_millis(60));
+    for reply in take_replies(answers) {
+        assert!(matches!(reply.update, FleetUpdate::Whole(_)));
+    }
+    assert!(waiting.iter_mut().all(|answer| answer.try_recv().is_err()));
+    replica.advance(Duration::from_millis(300));
+    for reply in take_replies(waiting) {
+        assert!(matches!(reply.update, FleetUpdate::Current));
+    }
+}
+
+/// Ten configurations follow each other at once. A host gets the first and the last in two answers, and
+/// so does one that was gone meanwhile.
+#[test]
+fn configurations_in_quick_succession_reach_hosts_in_two_answers() {
+    const CONFIGURATIONS: u64 = 10;
+    let mut replica = replica_with_servers();
+    let FleetUpdate::Whole(view) = replica.follow().update else {
+        panic!("a whole state is due");
+    };
+    let answers = follow_all(&mut replica, view.revision);
+    replica.execute((1..=CONFIGURATIONS).map(|version| {
+        FleetCommand::Replace(SiteReplacement {
+            version,
+            base: version - 1,
+            document: b"{}".to_vec(),
+            site: SiteConfig::default(),
+        })
+    }));
+    let (_, woken_at) = count_changes(take_replies(answers));
+    let answers = follow_all(&mut replica, woken_at);
+    replica.advance(Duration::from_millis(60));
+    let replies = take_replies(answers);
+    let versions = replies.iter().map(|reply| match &reply.update {
+        FleetUpdate::Changes { changes, .. } => match changes.last() {
+            Some(FleetChange::Site { version, .. }) => *version,
+            other => panic!("a configuration is due, not {other:?}"),
+        },
+        other => panic!("changes are due, not {other:?}"),
+    });
+    assert!(versions
+        .into_iter()
+        .all(|version| version == CONFIGURATIONS));
+    count_changes(replies);
+}
+
 /// Returns the number of changes in each of the replies, which are alike, and the revision after them.
 fn count_changes(replies: Vec<FollowReply>) -> (usize, u64) {
     let counts = replies.into_iter().map(|reply| {
