--- a/crates/director/tests/many.rs
+++ b/crates/director/tests/many.rs
@@ -10,7 +10,7 @@
 use fleet::command::{FleetCommand, SiteReplacement};
 use fleet::server::{ServerRecord, ServerState};
 use fleet::site::SiteConfig;
-use support::OnlyReplica;
+use support::{OnlyReplica, LONG_POLL_WAIT};
 use tokio::sync::oneshot;
 
 /// Entry hosts that follow one of five replicas.
@@ -189,6 +189,36 @@
     count_changes(replies);
 }
 
+/// Servers leave one after another, ten a second, and each change wakes the hosts. The loads of all
+/// servers need not go out more often than without changes.
+#[test]
+fn changes_do_not_make_the_loads_go_out_more_often() {
+    const STEPS: usize = 20;
+    let step = Duration::from_millis(100);
+    let mut replica = replica_with_servers();
+    let FleetUpdate::Whole(view) = replica.follow().update else {
+        panic!("a whole state is due");
+    };
+    let mut revision = view.revision;
+    let mut with_loads = 0;
+    for number in 0..STEPS {
+        let mut answer = replica.begin_follow(0, Some(revision));
+        replica.execute([FleetCommand::Leave {
+            id: id(number),
+            born: None,
+        }]);
+        let reply = answer.try_recv().unwrap();
+        with_loads += usize::from(reply.loads.means().count() > 0);
+        revision = count_changes(vec![reply]).1;
+    }
+    let period = step * STEPS as u32;
+    let without_changes = period.div_duration_f64(LONG_POLL_WAIT).ceil() as usize;
+    assert!(
+        with_loads <= without_changes,
+        "{with_loads} answers with loads in {period:?}, {without_changes} without changes"
+    );
+}
+
 /// Returns the number of changes in each of the replies, which are alike, and the revision after them.
 fn count_changes(replies: Vec<FollowReply>) -> (usize, u64) {
     let counts = replies.into_iter().map(|reply| {
--- a/crates/director/tests/support/mod.rs
+++ b/crates/director/tests/support/mod.rs
@@ -16,7 +16,7 @@
 use tokio::sync::oneshot;
 
 /// Longest time for which an entry host lets a replica hold its call.
-const LONG_POLL_WAIT: Duration = Duration::from_millis(350);
+pub const LONG_POLL_WAIT: Duration = Duration::from_millis(350);
 
 /// A replica that is the only voter, on a disk that syncs at once.
 pub struct OnlyReplica {
