--- a/crates/director/tests/follow.rs
+++ b/crates/director/tests/follow.rs
@@ -1,38 +1,22 @@
 //! Long polls of entry hosts: what wakes them, and how many batches of answers a replica makes.
 #![allow(missing_docs, clippy::unwrap_used)]
 
+mod support;
+
 use std::time::{Duration, Instant};
 
 use director::follow::FollowQueue;
-use director::message::{FollowReply, FollowRequest, HostStatus};
+use director::message::FollowReply;
+use support::LONG_POLL_WAIT;
 use tokio::sync::oneshot;
 
-const MAX_WAIT: Duration = Duration::from_millis(350);
-
-fn request(number: usize, revision: u64) -> FollowRequest {
-    FollowRequest {
-        host: HostStatus {
-            name: format!("host-{number}"),
-            address: "10.0.0.1:80".parse().unwrap(),
-            zone: "east-a".to_string(),
-            ready: true,
-        },
-        region: "east".to_string(),
-        shares: Vec::new(),
-        revision: Some(revision),
-        loads: Vec::new(),
-        leaving: Vec::new(),
-        unanswered: Vec::new(),
-        hosts_digest: 0,
-        cold_digest: 0,
-        hints_digest: 0,
-        max_wait: MAX_WAIT,
-    }
-}
-
 fn push(queue: &mut FollowQueue, now: Instant, number: usize) -> oneshot::Receiver<FollowReply> {
     let (reply, receiver) = oneshot::channel();
-    queue.push(now, request(number, 1), reply);
+    queue.push(
+        now,
+        support::follow_request(&format!("host-{number}"), Some(1)),
+        reply,
+    );
     receiver
 }
 
@@ -42,10 +26,10 @@
     let mut queue = FollowQueue::new(start);
     assert_eq!(queue.deadline(), None);
     let _receiver = push(&mut queue, start, 0);
-    assert_eq!(queue.deadline(), Some(start + MAX_WAIT));
-    let early = start + MAX_WAIT - Duration::from_millis(1);
+    assert_eq!(queue.deadline(), Some(start + LONG_POLL_WAIT));
+    let early = start + LONG_POLL_WAIT - Duration::from_millis(1);
     assert!(queue.take_batch(early, |_| false).is_empty());
-    assert_eq!(queue.take_batch(start + MAX_WAIT, |_| false).len(), 1);
+    assert_eq!(queue.take_batch(start + LONG_POLL_WAIT, |_| false).len(), 1);
     assert_eq!(queue.deadline(), None);
 }
 
@@ -97,7 +81,7 @@
     let mut queue = FollowQueue::new(start);
     let mut receivers = Vec::new();
     for number in 0..HOSTS {
-        let sent_at = start + MAX_WAIT * number as u32 / HOSTS as u32;
+        let sent_at = start + LONG_POLL_WAIT * number as u32 / HOSTS as u32;
         receivers.push(push(&mut queue, sent_at, number));
     }
     let (mut answered, mut batches) = (0, 0);
