--- a/crates/director/tests/many.rs
+++ b/crates/director/tests/many.rs
@@ -50,6 +50,14 @@
     postcard::to_allocvec(reply).unwrap().len()
 }
 
+/// Returns the revision that a host without a state gets.
+fn current_revision(replica: &mut OnlyReplica) -> u64 {
+    match replica.follow().update {
+        FleetUpdate::Whole(view) => view.revision,
+        other => panic!("a whole state is due, not {other:?}"),
+    }
+}
+
 /// Handles the calls of all hosts, whose copies have a revision.
 fn follow_all(replica: &mut OnlyReplica, revision: u64) -> Vec<oneshot::Receiver<FollowReply>> {
     let hosts = 0..HOSTS;
@@ -89,15 +97,13 @@
 #[test]
 fn servers_that_leave_at_once_reach_the_waiting_hosts_in_two_answers() {
     let mut replica = replica_with_servers();
-    let FleetUpdate::Whole(view) = replica.follow().update else {
-        panic!("a whole state is due");
-    };
+    let revision = current_revision(&mut replica);
     let leaving = SERVERS / 3;
     let commands = (0..leaving).map(|number| FleetCommand::Leave {
         id: id(number),
         born: None,
     });
-    let answers = follow_all(&mut replica, view.revision);
+    let answers = follow_all(&mut replica, revision);
     replica.execute(commands);
     let (first, woken_at) = count_changes(take_replies(answers));
     let answers = follow_all(&mut replica, woken_at);
@@ -111,9 +117,7 @@
 #[test]
 fn hosts_get_differences_after_a_restart_of_all_replicas() {
     let mut replica = replica_with_servers();
-    let FleetUpdate::Whole(view) = replica.follow().update else {
-        panic!("a whole state is due");
-    };
+    let revision = current_revision(&mut replica);
     let leaving = 5;
     replica.execute((0..leaving).map(|number| FleetCommand::Leave {
         id: id(number),
@@ -121,7 +125,7 @@
     }));
     let mut restarted = OnlyReplica::recover(replica.disk);
     restarted.advance(Duration::from_secs(1));
-    let answers = follow_all(&mut restarted, view.revision);
+    let answers = follow_all(&mut restarted, revision);
     restarted.advance(Duration::from_millis(60));
     let replies = take_replies(answers);
     assert!(replies.iter().all(|reply| reply.confirmed_ago.is_some()));
@@ -133,12 +137,10 @@
 #[test]
 fn restarted_hosts_do_not_wake_the_others() {
     let mut replica = replica_with_servers();
-    let FleetUpdate::Whole(view) = replica.follow().update else {
-        panic!("a whole state is due");
-    };
+    let revision = current_revision(&mut replica);
     let restarted = HOSTS / 3;
     let mut waiting: Vec<_> = (restarted..HOSTS)
-        .map(|host| replica.begin_follow(host, Some(view.revision)))
+        .map(|host| replica.begin_follow(host, Some(revision)))
         .collect();
     let answers: Vec<_> = (0..restarted)
         .map(|host| replica.begin_follow(host, None))
@@ -160,10 +162,8 @@
 fn configurations_in_quick_succession_reach_hosts_in_two_answers() {
     const CONFIGURATIONS: u64 = 10;
     let mut replica = replica_with_servers();
-    let FleetUpdate::Whole(view) = replica.follow().update else {
-        panic!("a whole state is due");
-    };
-    let answers = follow_all(&mut replica, view.revision);
+    let revision = current_revision(&mut replica);
+    let answers = follow_all(&mut replica, revision);
     replica.execute((1..=CONFIGURATIONS).map(|version| {
         FleetCommand::Replace(SiteReplacement {
             version,
@@ -196,10 +196,7 @@
     const STEPS: usize = 20;
     let step = Duration::from_millis(100);
     let mut replica = replica_with_servers();
-    let FleetUpdate::Whole(view) = replica.follow().update else {
-        panic!("a whole state is due");
-    };
-    let mut revision = view.revision;
+    let mut revision = current_revision(&mut replica);
     let mut with_loads = 0;
     for number in 0..STEPS {
         let mut answer = replica.begin_follow(0, Some(revision));
