feat(gateway): the log tells which limit a backend server names

The attempt's line of an answer that names a request rate carries it as limit, and a value that is no rate is logged and ignored. Nothing acts on the limit yet.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | [`hint`] | hints about backend servers |
 //! | [`ids`] | names and numbers |
+//! | [`limit`] | request rates that backend servers take |
 //! | [`site`] | the validated configuration: virtual hosts, routes, services, limits |
 //! | [`server`] | the record that a backend server announces |
 //! | [`command`] | the commands that change the state, and their outcomes |
@@ -18,6 +19,7 @@
 pub mod command;
 pub mod hint;
 pub mod ids;
+pub mod limit;
 pub mod server;
 pub mod site;
 pub mod state;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use balance::query::{AttemptReport, ChosenServer};
 use balance::server::{AttemptEnd, ReportedLoad};
 use bytes::Bytes;
+use fleet::limit::RequestRate;
 use http::header::{HeaderMap, CONNECTION, CONTENT_ENCODING, HOST, RETRY_AFTER};
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
@@ -65,6 +66,8 @@
     started_at: Instant,
     /// Whether the connection had carried a request before; `None` while there is no connection.
     reused: Option<bool>,
+    /// Limit that the answer names.
+    limit: Option<RequestRate>,
     finished: bool,
 }
 
@@ -79,6 +82,7 @@
             object: request.object,
             started_at: Instant::now(),
             reused: None,
+            limit: None,
             finished: false,
         }
     }
@@ -110,7 +114,8 @@
         log::info!(
             target: "attempt",
             "attempt ended; request={} server={} service={} address={} object={:x} load={:.1} \
-             affinity={} expected_ms={} reported={reported} reused={} end={end} took_ms={} \
+             affinity={} expected_ms={} reported={reported} limit={} reused={} end={end} \
+             took_ms={} \
              what={reason}",
             self.request_id,
             chosen.record.id,
@@ -120,6 +125,7 @@
             chosen.load,
             chosen.forecast.affinity,
             chosen.forecast.expected().as_millis(),
+            self.limit.map_or(-1.0, RequestRate::per_second),
             self.reused.map_or("none", |reused| if reused { "yes" } else { "no" }),
             took.as_millis(),
         );
@@ -208,6 +214,7 @@
                 return broken(error.to_string());
             }
         };
+        guard.limit = self.named_limit(&guard.chosen, response.headers());
         self.record_notices(&guard.chosen, &response);
         self.read_answer(request, address, connection, response)
             .await
@@ -288,6 +295,20 @@
         (AttemptResult::Answer(answer), end, load)
     }
 
+    /// Returns the request rate that an answer names as the limit of its backend server.
+    fn named_limit(&self, chosen: &ChosenServer, headers: &HeaderMap) -> Option<RequestRate> {
+        let value = headers.get(&self.names.limit)?;
+        let text = value.to_str().unwrap_or_default();
+        match RequestRate::try_from(text) {
+            Ok(rate) => Some(rate),
+            Err(e) => {
+                let server = &chosen.record.id;
+                log::warn!(target: "server", "limit ignored; server={server} value={value:?} error={e}");
+                None
+            }
+        }
+    }
+
     /// Records what an answer asks of this host, as soon as its head is read.
     fn record_notices(&self, chosen: &ChosenServer, response: &Response<Incoming>) {
         let (status, headers) = (response.status(), response.headers());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,6 +27,9 @@
     pub load: HeaderName,
     /// Answer header with the value 1 if the backend server is leaving.
     pub leaving: HeaderName,
+    /// Answer header with the requests a second that the backend server takes from all entry hosts
+    /// together.
+    pub limit: HeaderName,
 }
 
 /// Settings of an entry host.
