fix(balance): hosts together keep to the request rate that a backend server names

Cause: nothing read the header. A host that kept to the whole rate by itself would fail as well, by the number of hosts, so the class is a limit on a sum that no host sees.

Change: a limit is divided among a fixed set of hosts, the first of its server's region by rendezvous hashing; their number is bound to the limit (2, and one for each 2 requests a second), so that also the first requests after a silence stay within it at 300 hosts and at limits far below a request a second. The hosts use 0.8 of the limit; one without contact to control halves its share, as others may have taken it over; a host that vanishes from the list keeps its place for 4 s, also against lists of replicas that have just started. The permit is taken where a server is chosen, and holds for 0.6 s: an attempt that waits longer for its connection, or was chosen before the limit was known, needs one when it is sent. All attempts, first and further ones, hedges and queued requests, pass there. Limits and their ends reach hosts that send nothing, and such that start, through the control replicas, as changes after a mark; nothing wakes a host for them. An end counts only from an answer whose request was sent after the latest answer with a limit.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -3,24 +3,28 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use fleet::change::{FleetChange, FleetView};
-use fleet::hint::{ServerHint, ServerIncarnation};
-use fleet::ids;
-use fleet::server::ServerRecord;
-use fleet::site::ServiceSpec;
-use slotmap::SlotMap;
-use xxhash_rust::xxh3;
-
 use crate::group::{ServiceGroup, INITIAL_PROCESSING_TIME};
+use crate::limit::{self, KnownLimits, SendPermit};
 use crate::notice::{NoticeTable, ServerNotice};
 use crate::query::{AttemptReport, ChosenServer, LoadRefusal, ServerKey, ServerQuery, ZoneKey};
+use crate::ranking::{HostPlace, HostRanking};
 use crate::reach::ZoneReach;
 use crate::server::{AttemptEnd, TrackedServer};
 use crate::settings::BalanceSettings;
+use fleet::change::{FleetChange, FleetView};
+use fleet::hint::{ServerHint, ServerIncarnation};
+use fleet::ids;
+use fleet::limit::{LimitNotice, RequestRate};
+use fleet::server::ServerRecord;
+use fleet::site::ServiceSpec;
+use slotmap::SlotMap;
 
 /// Lower bound of a measured processing time, as a fraction of the latency without the round trip.
 const MIN_PROCESSING_FRACTION: f64 = 0.3;
 
+/// Age of the latest confirmation from which this host counts as isolated.
+const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(2);
+
 /// Chooses backend servers for requests, and tracks their load and health.
 #[derive(Debug)]
 pub struct LoadBalancer {
@@ -36,22 +40,13 @@
     pub(crate) specs: HashMap<ids::ServiceName, ServiceSpec>,
     pub(crate) evacuated: Vec<ids::ZoneName>,
     notices: NoticeTable,
+    limits: KnownLimits,
     /// Backend servers that the control replicas gave hints about.
     hinted: Vec<ServerKey>,
     /// Entry hosts that are ready.
-    hosts: Vec<RankedHost>,
-    /// Version of the list of entry hosts.
-    hosts_version: u64,
-}
-
-/// An entry host in the choice of the owner of a cold backend server.
-#[derive(Debug)]
-struct RankedHost {
-    /// Hash of the name.
-    seed: u64,
-    zone: ids::ZoneName,
-    /// Whether it is this host.
-    is_own: bool,
+    hosts: HostRanking,
+    /// Latest time at which the state of a control replica was confirmed.
+    confirmed_at: Option<Instant>,
 }
 
 impl LoadBalancer {
@@ -68,9 +63,10 @@
             specs: HashMap::new(),
             evacuated: Vec::new(),
             notices: NoticeTable::default(),
+            limits: KnownLimits::default(),
             hinted: Vec::new(),
-            hosts: Vec::new(),
-            hosts_version: 0,
+            hosts: HostRanking::default(),
+            confirmed_at: None,
         }
     }
 
@@ -89,7 +85,7 @@
             self.remove_server(&id);
         }
         for record in view.servers.values() {
-            self.set_server(record.clone());
+            self.set_server(now, record.clone());
         }
         self.update_evacuated(now, &[]);
     }
@@ -100,7 +96,7 @@
             FleetChange::Site { site, .. } => self.set_specs(&site.services),
             FleetChange::Server(record) => {
                 let cold = record.cold;
-                self.set_server(record.clone());
+                self.set_server(now, record.clone());
                 self.set_cold(now, &record.id, cold);
             }
             FleetChange::ServerGone(id) => self.remove_server(id),
@@ -123,20 +119,25 @@
     }
 
     /// Sets the names and zones of the entry hosts that are ready.
-    pub fn set_hosts(&mut self, hosts: Vec<(String, ids::ZoneName)>) {
-        let hosts = hosts.into_iter().map(|(name, zone)| RankedHost {
-            seed: xxh3::xxh3_64(name.as_bytes()),
-            is_own: name == self.settings.host,
-            zone,
-        });
-        self.hosts = hosts.collect();
-        self.hosts_version += 1;
+    pub fn set_hosts(&mut self, now: Instant, hosts: Vec<(String, ids::ZoneName)>) {
+        self.hosts.set_listed(now, &self.settings.host, hosts);
+    }
+
+    /// Records that a control replica confirmed its state at a time.
+    pub fn set_confirmed(&mut self, confirmed_at: Instant) {
+        self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+    }
+
+    /// Returns whether no control replica recently confirmed its state to this host.
+    fn is_isolated(&self, now: Instant) -> bool {
+        self.confirmed_at
+            .is_none_or(|confirmed_at| now >= confirmed_at + MAX_CONFIRMATION_AGE)
     }
 
     /// Returns the number of entry hosts that are ready. It is at least 1, as this host may not be
     /// listed yet.
     pub fn host_count(&self) -> usize {
-        self.hosts.len().max(1)
+        self.hosts.listed().max(1)
     }
 
     /// Records a client request to a service, which adds to the service's retry budget.
@@ -178,6 +179,7 @@
         now: Instant,
         query: &ServerQuery<'_>,
     ) -> Result<ChosenServer, LoadRefusal> {
+        self.hosts.evict(now);
         let region_loads = self.region_loads(now, query.service);
         let spills = self.decide_spill(now, query, &region_loads);
         let usable = self.usable_servers(now, query);
@@ -194,6 +196,9 @@
         if best.cold && !self.try_take_cold_token(now, best.key) {
             return Err(self.refusal(now, query, &candidates));
         }
+        let Some(permit) = self.take_permit(now, best.key) else {
+            return Err(self.refusal(now, query, &candidates));
+        };
         let server = &mut self.servers[best.key];
         server.begin_request();
         self.zones[server.zone].begin_request(best.key);
@@ -202,6 +207,7 @@
             record: server.record.clone(),
             load: best.load,
             forecast: best.forecast,
+            permit,
         })
     }
 
@@ -256,12 +262,83 @@
         is_cut_off
     }
 
-    /// Returns whether a backend server that was chosen may still get the request: it is in the view
-    /// and accepts requests. Time passes between the choice and the send while a connection is opened
-    /// or the process is suspended.
-    pub fn may_send(&self, now: Instant, key: ServerKey) -> bool {
-        let server = self.servers.get(key);
-        server.is_some_and(|server| server.accepts_requests() && !server.is_resting(now))
+    /// Returns whether a backend server that was chosen may still get the request: it is in the view,
+    /// accepts requests, and isn't limited unless there is a permit. Time passes between the choice and
+    /// the send while a connection is opened or the process is suspended.
+    pub fn may_send(&mut self, now: Instant, chosen: &ChosenServer) -> bool {
+        let Some(server) = self.servers.get(chosen.key) else {
+            return false;
+        };
+        if !server.accepts_requests() || server.is_resting(now) {
+            return false;
+        }
+        server.limit().is_none()
+            || chosen.permit.covers_limit(now)
+            || self.take_permit(now, chosen.key).is_some()
+    }
+
+    /// Takes the permit for one request to a backend server from this host's share of its limit, if the
+    /// server is limited.
+    fn take_permit(&mut self, now: Instant, key: ServerKey) -> Option<SendPermit> {
+        let share = self.share_rate(now, &self.servers[key]);
+        self.servers[key].take_permit(now, share)
+    }
+
+    /// Returns the rate, in requests a second, at which this host may send requests to a limited server;
+    /// `None` where the limit is divided among other hosts.
+    pub(crate) fn share_rate(&self, now: Instant, server: &TrackedServer) -> Option<f64> {
+        let limit = server.limit()?;
+        let sharer = self.host_place(server).sharer;
+        let sharers = limit::sharer_count(limit).min(sharer.hosts);
+        let shares = sharer.rank.is_some_and(|rank| rank < sharers);
+        shares.then(|| limit::share_rate(limit, sharers, self.is_isolated(now)))
+    }
+
+    /// Records whether an answer that arrives now names a limit of its backend server. The request was
+    /// sent at `sent_at` to the incarnation in `record`. Returns whether the limit changes.
+    pub fn record_limit(
+        &mut self,
+        now: Instant,
+        record: &ServerRecord,
+        rate: Option<RequestRate>,
+        sent_at: Instant,
+    ) -> bool {
+        let incarnation = record.incarnation();
+        let changed = self.limits.record_answer(now, &incarnation, rate, sent_at);
+        if changed {
+            self.update_limit(now, &incarnation);
+        }
+        changed
+    }
+
+    /// Merges limits that a control replica passes on.
+    pub fn merge_limits(&mut self, now: Instant, notices: &[LimitNotice]) {
+        for notice in notices {
+            if self.limits.merge(now, notice) {
+                self.update_limit(now, &notice.server);
+            }
+        }
+    }
+
+    /// Takes the limits to report to the control replicas.
+    pub fn take_limits(&mut self, now: Instant) -> Vec<LimitNotice> {
+        let (keys, servers) = (&self.keys, &self.servers);
+        self.limits.evict(now, |incarnation| {
+            let server = keys.get(&incarnation.id).map(|key| &servers[*key]);
+            server.is_some_and(|server| server.record.born == incarnation.born)
+        });
+        self.limits.take_report(now)
+    }
+
+    /// Passes the limit of an incarnation on to its server, if that is in the view.
+    fn update_limit(&mut self, now: Instant, incarnation: &ServerIncarnation) {
+        let rate = self.limits.rate(incarnation);
+        let known = self.keys.get(&incarnation.id).copied();
+        if let Some(server) = known.and_then(|key| self.servers.get_mut(key)) {
+            if server.record.born == incarnation.born {
+                server.set_limit(now, rate);
+            }
+        }
     }
 
     /// Records a notice in an answer of a backend server. It concerns the incarnation in `record`,
@@ -341,7 +418,7 @@
 
     /// Inserts a backend server, or updates its record. A new incarnation replaces the old one with
     /// its load and health.
-    fn set_server(&mut self, record: ServerRecord) {
+    fn set_server(&mut self, now: Instant, record: ServerRecord) {
         let known = self.keys.get(&record.id).copied();
         if let Some(server) = known.and_then(|key| self.servers.get_mut(key)) {
             let same_incarnation = server.record.born == record.born
@@ -349,7 +426,7 @@
                 && server.record.service == record.service;
             if same_incarnation {
                 server.record = record;
-                server.designated.set(None);
+                server.place.set(None);
                 return;
             }
         }
@@ -360,6 +437,7 @@
         let mut server = TrackedServer::new(record, region, zone);
         server.evacuated = self.evacuated.contains(&server.record.zone);
         server.set_notices(self.notices.state(&server.record));
+        server.set_limit(now, self.limits.rate(&server.record.incarnation()));
         let key = self.servers.insert(server);
         self.keys.insert(id, key);
         self.group_mut(&service).servers.push(key);
@@ -402,29 +480,26 @@
 
     /// Returns whether this host is the only one that sends requests to a backend server while the
     /// server is cold or probably doesn't answer: the first by rendezvous hashing among the hosts in the
-    /// server's zone, else in its region, else among all hosts. The result is kept until the list of
-    /// hosts changes.
+    /// server's zone, else in its region, else among all hosts.
     pub(crate) fn is_designated(&self, server: &TrackedServer) -> bool {
-        if let Some((version, owns)) = server.designated.get() {
-            if version == self.hosts_version {
-                return owns;
+        self.host_place(server).is_first
+    }
+
+    /// Returns the place of this host in the ranking for a backend server. It is kept until the ranking
+    /// changes.
+    fn host_place(&self, server: &TrackedServer) -> HostPlace {
+        let version = self.hosts.version();
+        if let Some((known, place)) = server.place.get() {
+            if known == version {
+                return place;
             }
         }
-        let same_zone = |zone: &str| zone == server.record.zone;
-        let same_region = |zone: &str| self.settings.region(zone) == server.region;
-        let distance = |zone: &str| match (same_zone(zone), same_region(zone)) {
-            (true, _) => 0,
-            (false, true) => 1,
-            (false, false) => 2,
-        };
-        let rank = |host: &RankedHost| {
-            let hash = xxh3::xxh3_64_with_seed(server.record.id.as_bytes(), host.seed);
-            (distance(&host.zone), hash)
-        };
-        let owner = self.hosts.iter().min_by_key(|host| rank(host));
-        let owns = owner.is_some_and(|host| host.is_own);
-        server.designated.set(Some((self.hosts_version, owns)));
-        owns
+        let record = &server.record;
+        let place = self
+            .hosts
+            .place(&self.settings, &record.id, &record.zone, &server.region);
+        server.place.set(Some((version, place)));
+        place
     }
 
     /// Returns the share of the requests for a service that leaves this region, from 0 to 1.
@@ -470,6 +545,14 @@
         }
     }
 
+    /// Returns the limits of the backend servers, in requests a second, for a dump.
+    pub fn limits(&self) -> BTreeMap<ids::ServerId, f64> {
+        let servers = self.servers.values();
+        servers
+            .filter_map(|server| Some((server.record.id.clone(), server.limit()?.per_second())))
+            .collect()
+    }
+
     /// Returns the loads of the backend servers that have a recent load report, for a dump.
     pub fn loads(&self, now: Instant) -> BTreeMap<ids::ServerId, f64> {
         let servers = self.servers.values();
--- a/crates/balance/src/candidate.rs
+++ b/crates/balance/src/candidate.rs
@@ -7,6 +7,7 @@
 
 use crate::balancer::LoadBalancer;
 use crate::group::ServiceGroup;
+use crate::limit;
 use crate::query::{
     LatencyForecast, LoadRefusal, ObjectAffinity, RefusalCause, ServerKey, ServerQuery,
     SoonestServer,
@@ -135,6 +136,12 @@
         owns.then(|| server.cold_wait(now, self.cold_rate(server), COLD_BURST))
     }
 
+    /// Returns the time until this host may send a request to a server by its share of the server's
+    /// limit; `None` if other hosts send the requests to it.
+    fn permit_wait(&self, now: Instant, server: &TrackedServer) -> Option<Duration> {
+        server.permit_wait(now, self.share_rate(now, server))
+    }
+
     /// Returns the backend servers that may get a request.
     ///
     /// An unresponsive one gets a request at a time from one host alone, unless so many are unresponsive
@@ -149,8 +156,9 @@
             let server = &self.servers[*key];
             let home = query.home_regions.is_empty() || query.home_regions.contains(&server.region);
             let probe = !server.is_recovering() || server.in_flight() == 0;
-            // A cold server whose rate is used up must not keep the request from the others.
-            let has_room = self.cold_wait(now, server) == Some(Duration::ZERO);
+            // A cold or limited server whose rate is used up must not keep the request from the others.
+            let has_room = self.cold_wait(now, server) == Some(Duration::ZERO)
+                && self.permit_wait(now, server) == Some(Duration::ZERO);
             let is_usable = home
                 && probe
                 && has_room
@@ -367,8 +375,8 @@
         }
     }
 
-    /// Returns the time until the first of the backend servers that rest, aren't reached, or are cold and
-    /// have used up their rate, is a candidate again, and which of these it is.
+    /// Returns the time until the first of the backend servers that rest, aren't reached, or are cold or
+    /// limited and have used up their rate, is a candidate again, and which of these it is.
     fn shortest_wait(
         &self,
         now: Instant,
@@ -384,12 +392,18 @@
                 return None;
             }
             let cold = self.cold_wait(now, server)?;
+            let limited = self.permit_wait(now, server);
+            let limited = limited.unwrap_or_else(|| limit::interval(server.limit()));
             let unreached = self.zones[server.zone].wait(now);
             match server.rest_left(now) {
-                Some(rest) => Some((rest.max(cold).max(unreached), RefusalCause::Resting)),
+                Some(rest) => Some((
+                    rest.max(cold).max(limited).max(unreached),
+                    RefusalCause::Resting,
+                )),
                 None if !unreached.is_zero() => {
-                    Some((unreached.max(cold), RefusalCause::Unreachable))
+                    Some((unreached.max(cold).max(limited), RefusalCause::Unreachable))
                 }
+                None if !limited.is_zero() => Some((limited.max(cold), RefusalCause::Limited)),
                 None if cold.is_zero() => None,
                 None => Some((cold, RefusalCause::Full)),
             }
--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -5,6 +5,7 @@
 use fleet::ids;
 use fleet::server::ServerRecord;
 
+use crate::limit::SendPermit;
 use crate::server::{AttemptEnd, ReportedLoad};
 
 slotmap::new_key_type! {
@@ -49,6 +50,8 @@
     pub load: f64,
     /// Expected latency of the request.
     pub forecast: LatencyForecast,
+    /// Permit by the server's limit.
+    pub permit: SendPermit,
 }
 
 /// How likely a backend server is to hold an object in its cache, from most to least likely.
@@ -108,6 +111,8 @@
     NoServer,
     /// The service has no candidate, but a backend server that asked for a rest will be one.
     Resting,
+    /// The service has no candidate, but this host's share of a server's limit will permit a request.
+    Limited,
     /// This host reaches no zone with a candidate.
     Unreachable,
     /// No candidate can answer in time, or the chosen one is cold and its rate limit is reached.
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -6,12 +6,15 @@
 
 use fleet::hint::HintKind;
 use fleet::ids;
+use fleet::limit::RequestRate;
 use fleet::server::{ServerRecord, ServerState};
 use guard::bucket::RateBucket;
 
 use crate::decay;
+use crate::limit::{PermitBucket, SendPermit};
 use crate::notice::NoticeState;
 use crate::query::ZoneKey;
+use crate::ranking::HostPlace;
 
 /// Half-life of the weight of a load report.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
@@ -114,10 +117,11 @@
     pub(crate) zone: ZoneKey,
     /// Whether the server's zone is evacuated.
     pub evacuated: bool,
-    /// Whether this host is the only one that sends requests to the server while it is cold or probably
-    /// doesn't answer, and the version of the list of entry hosts for which that was determined.
-    pub(crate) designated: Cell<Option<(u64, bool)>>,
+    /// Place of this host in the ranking for the server, and the version of the ranking.
+    pub(crate) place: Cell<Option<(u64, HostPlace)>>,
     notices: NoticeState,
+    /// Rate that the server takes from all hosts together, and the permits for this host's share.
+    limit: Option<(RequestRate, PermitBucket)>,
     /// Hint of the control replicas, with its end.
     hint: Option<(HintKind, Instant)>,
     /// Whether an attempt was left without an answer in time and not yet reported to a control replica,
@@ -160,8 +164,9 @@
             region,
             zone,
             evacuated: false,
-            designated: Cell::new(None),
+            place: Cell::new(None),
             notices: NoticeState::default(),
+            limit: None,
             hint: None,
             unanswered: false,
             rested: false,
@@ -206,6 +211,36 @@
         Some(until.saturating_duration_since(now))
     }
 
+    /// Sets the rate that the server takes from all hosts together, or removes it.
+    pub(crate) fn set_limit(&mut self, now: Instant, rate: Option<RequestRate>) {
+        let bucket = self.limit.take().map(|(_, bucket)| bucket);
+        let bucket = bucket.unwrap_or_else(|| PermitBucket::new(now));
+        self.limit = rate.map(|rate| (rate, bucket));
+    }
+
+    /// Returns the rate that the server takes from all hosts together, if it is limited.
+    pub fn limit(&self) -> Option<RequestRate> {
+        let (rate, _) = self.limit.as_ref()?;
+        Some(*rate)
+    }
+
+    /// Takes the permit for one request. `share` is the rate, in requests a second, at which this host may
+    /// send requests while the server is limited, if it may send any.
+    pub(crate) fn take_permit(&mut self, now: Instant, share: Option<f64>) -> Option<SendPermit> {
+        match &mut self.limit {
+            None => Some(SendPermit::Unlimited),
+            Some((_, bucket)) => bucket.try_take(now, share?),
+        }
+    }
+
+    /// Returns the time until [`take_permit`](Self::take_permit) has a permit; `None` if it never has.
+    pub(crate) fn permit_wait(&self, now: Instant, share: Option<f64>) -> Option<Duration> {
+        match &self.limit {
+            None => Some(Duration::ZERO),
+            Some((_, bucket)) => share.map(|share| bucket.wait(now, share)),
+        }
+    }
+
     /// Sets the hint of the control replicas.
     pub fn set_hint(&mut self, kind: HintKind, until: Instant) {
         self.hint = Some((kind, until));
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -24,7 +24,7 @@
 fn balancer(now: Instant, servers: &[ServerRecord]) -> LoadBalancer {
     let mut balancer = LoadBalancer::new(settings("host-0", "east-a", &ZONES));
     balancer.set_view(now, &view(servers, 10.0));
-    balancer.set_hosts(vec![("host-0".to_string(), "east-a".to_string())]);
+    balancer.set_hosts(now, vec![("host-0".to_string(), "east-a".to_string())]);
     balancer
 }
 
@@ -149,7 +149,7 @@
             } else {
                 names.clone()
             };
-            balancer.set_hosts(known);
+            balancer.set_hosts(now, known);
             balancer.set_cold(now, "s1", Duration::from_secs(3));
             balancer
         })
@@ -224,7 +224,7 @@
     for (name, zone) in &names {
         let mut balancer = LoadBalancer::new(settings(name, zone, &ZONES));
         balancer.set_view(now, &view(&two_servers(), 10.0));
-        balancer.set_hosts(names.clone());
+        balancer.set_hosts(now, names.clone());
         for _ in 0..REQUESTS / HOSTS {
             balancer.record_request(SERVICE);
             retries += usize::from(balancer.try_withdraw_retry(SERVICE));
--- a/crates/balance/tests/notices.rs
+++ b/crates/balance/tests/notices.rs
@@ -31,7 +31,7 @@
 fn balancer(now: Instant, host: &str, servers: &[ServerRecord]) -> LoadBalancer {
     let mut balancer = LoadBalancer::new(settings(host, "east-a", &ZONES));
     balancer.set_view(now, &view(servers, 10.0));
-    balancer.set_hosts(vec![(host.to_string(), "east-a".to_string())]);
+    balancer.set_hosts(now, vec![(host.to_string(), "east-a".to_string())]);
     balancer
 }
 
@@ -125,9 +125,9 @@
     ] {
         let mut balancer = balancer(now, "host-0", &[server()]);
         let chosen = balancer.choose(now, &query(None)).unwrap();
-        assert!(balancer.may_send(now, chosen.key));
+        assert!(balancer.may_send(now, &chosen));
         balancer.record_notice(now, &server(), notice);
-        assert!(!balancer.may_send(now, chosen.key));
+        assert!(!balancer.may_send(now, &chosen));
     }
     for change in [
         FleetChange::ServerGone("s1".to_string()),
@@ -137,7 +137,7 @@
         let mut balancer = balancer(now, "host-0", &[server()]);
         let chosen = balancer.choose(now, &query(None)).unwrap();
         balancer.apply(now, &change);
-        assert!(!balancer.may_send(now, chosen.key));
+        assert!(!balancer.may_send(now, &chosen));
     }
 }
 
--- a/crates/balance/tests/outages.rs
+++ b/crates/balance/tests/outages.rs
@@ -31,7 +31,7 @@
     let records: Vec<_> = servers.iter().map(|id| record(id, "east-a", 4)).collect();
     balancer.set_view(now, &view(&records, 10.0));
     let hosts = HOSTS.map(|host| (host.to_string(), "east-a".to_string()));
-    balancer.set_hosts(hosts.to_vec());
+    balancer.set_hosts(now, hosts.to_vec());
     balancer
 }
 
--- a/crates/balance/tests/reach.rs
+++ b/crates/balance/tests/reach.rs
@@ -29,7 +29,7 @@
         .flat_map(|zone| (0..8).map(move |number| record(&format!("{zone}-{number}"), zone, 4)));
     let records: Vec<_> = records.collect();
     balancer.set_view(now, &view(&records, 10.0));
-    balancer.set_hosts(vec![("host-0".to_string(), "east-a".to_string())]);
+    balancer.set_hosts(now, vec![("host-0".to_string(), "east-a".to_string())]);
     balancer
 }
 
--- a/crates/balance/tests/simulation/mod.rs
+++ b/crates/balance/tests/simulation/mod.rs
@@ -235,7 +235,7 @@
         let hosts = names.iter().map(|(name, zone)| {
             let mut balancer = LoadBalancer::new(settings(name, zone, &zones));
             balancer.set_view(start, &view(&records, 10.0));
-            balancer.set_hosts(names.clone());
+            balancer.set_hosts(start, names.clone());
             (balancer, zone.split('-').next().unwrap().to_string())
         });
         let servers = records.iter().map(|record| {
--- a/crates/director/src/call.rs
+++ b/crates/director/src/call.rs
@@ -1,5 +1,6 @@
 //! Calls to the core, and the actions that it returns to its task.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use fleet::command::FleetCommand;
@@ -129,6 +130,8 @@
     pub evacuated: Vec<ids::ZoneName>,
     /// Backend servers that are probably leaving or answer no entry host.
     pub hinted: Vec<HintSummary>,
+    /// Limits in requests a second that backend servers named.
+    pub limits: BTreeMap<ids::ServerId, f64>,
     /// Milliseconds since this replica last confirmed that it has applied every committed entry;
     /// `None` where it hasn't since its start.
     pub confirmed_ago_ms: Option<u128>,
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -126,7 +126,7 @@
         let applied_term = recovered.snapshot.term;
         Ok(Self {
             machine: QuorumMachine::new(now, config, recovered),
-            observer: FleetObserver::new(replicated.state()),
+            observer: FleetObserver::new(replicated.state(), rand::random()),
             replicated,
             settings,
             metrics,
@@ -178,7 +178,7 @@
         if self.next_expiry_check <= now {
             self.next_expiry_check = now + EXPIRY_CHECK_INTERVAL;
             self.expire_servers(now);
-            self.observer.evict_silent(now);
+            self.observer.evict_silent(now, self.replicated.state());
         }
         self.answer_follows(now);
     }
@@ -524,6 +524,8 @@
                 cold_digest,
                 hints: (request.hints_digest != hints_digest).then(|| hints.clone()),
                 hints_digest,
+                limits: self.observer.limits.since(now, request.limits_mark),
+                limits_mark: self.observer.limits.mark(),
                 hosts: self.observer.host_lists.update_since(request.hosts_digest),
                 hosts_digest: self.observer.host_lists.current().digest(),
                 shares: shares.get(&request.region).cloned().unwrap_or_default(),
@@ -596,6 +598,7 @@
             hosts: hosts.cloned().collect(),
             evacuated: state.evacuated().cloned().collect(),
             hinted: hinted.iter().map(HintSummary::from).collect(),
+            limits: self.observer.limits.rates(now),
             confirmed_ago_ms: self
                 .confirmed_at
                 .map(|confirmed_at| now.saturating_duration_since(confirmed_at).as_millis()),
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -15,8 +15,10 @@
 //! | [`liveness`] | failure detection |
 //! | [`directory`] | choice of the entry hosts for a client |
 //! | [`evidence`] | reports about backend servers, and the hints that follow |
+//! | [`feed`] | changes of observations for entry hosts |
 //! | [`hints`] | hints about backend servers |
 //! | [`index`] | indexes of the backend servers in messages |
+//! | [`limits`] | limits of backend servers |
 //! | [`loads`] | mean loads of the backend servers |
 //! | [`shares`] | mean spill shares of the regions |
 //! | [`outages`] | detection of backend servers that don't answer |
@@ -32,11 +34,13 @@
 pub mod daemon;
 pub mod directory;
 pub mod evidence;
+pub mod feed;
 pub mod follow;
 pub mod handle;
 pub mod hints;
 pub mod hosts;
 pub mod index;
+pub mod limits;
 pub mod liveness;
 pub mod loads;
 pub mod mesh;
--- a/crates/director/src/message.rs
+++ b/crates/director/src/message.rs
@@ -7,10 +7,13 @@
 use fleet::command::{CommandOutcome, FleetCommand};
 use fleet::hint::{ServerHint, ServerIncarnation};
 use fleet::ids;
+use fleet::limit::LimitNotice;
 use quorum::ids::ReplicaId;
 use quorum::message::Message;
 use serde::{Deserialize, Serialize};
 
+use crate::feed::FeedMark;
+
 /// A call to another process.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum MeshRequest {
@@ -212,6 +215,10 @@
     /// Indexes of the backend servers, at `revision`, that left an attempt since the entry host's last
     /// call without an answer in time, and have answered none since.
     pub unanswered: Vec<u32>,
+    /// Limits that backend servers named to the entry host, or ceased to name, since its last call.
+    pub limits: Vec<LimitNotice>,
+    /// Position of the caller in the changes of limits.
+    pub limits_mark: FeedMark,
     /// Digest of the caller's list of entry hosts.
     pub hosts_digest: u64,
     /// Digest of the caller's list of cold backend servers.
@@ -240,6 +247,10 @@
     pub hints: Option<Vec<ServerHint>>,
     /// Digest of the replica's list of hints.
     pub hints_digest: u64,
+    /// Limits of backend servers that changed after the caller's position.
+    pub limits: Vec<LimitNotice>,
+    /// Position of the caller after these changes.
+    pub limits_mark: FeedMark,
     /// Update of the caller's list of the entry hosts that are alive.
     pub hosts: HostsUpdate,
     /// Digest of the list of entry hosts that are alive.
@@ -291,4 +302,6 @@
     pub loads: Vec<LoadSum>,
     /// Reports of unanswered attempts; the indexes are those at `revision`.
     pub unanswered: Vec<UnansweredReport>,
+    /// Limits that entry hosts reported to this replica.
+    pub limits: Vec<LimitNotice>,
 }
--- a/crates/director/src/observer.rs
+++ b/crates/director/src/observer.rs
@@ -13,8 +13,10 @@
 use quorum::ids::ReplicaId;
 
 use crate::evidence::ServerEvidence;
+use crate::feed::FeedEpoch;
 use crate::hosts::HostLists;
 use crate::index::ServerIndex;
+use crate::limits::LimitRegister;
 use crate::liveness::LivenessTable;
 use crate::loads::LoadTable;
 use crate::message::{FollowRequest, GossipReport, LoadVector, SpillShare};
@@ -35,11 +37,12 @@
     loads: LoadTable,
     shares: ShareTable,
     evidence: ServerEvidence,
+    pub(crate) limits: LimitRegister,
 }
 
 impl FleetObserver {
     /// Creates an observer without reports for the servers of a committed state.
-    pub(crate) fn new(state: &FleetState) -> Self {
+    pub(crate) fn new(state: &FleetState, epoch: FeedEpoch) -> Self {
         let index = ServerIndex::new(state);
         Self {
             liveness: LivenessTable::new(),
@@ -48,6 +51,7 @@
             index,
             shares: ShareTable::default(),
             evidence: ServerEvidence::default(),
+            limits: LimitRegister::new(epoch),
         }
     }
 
@@ -83,6 +87,9 @@
         }
         let index = readings_fit.then_some(&self.index);
         let leaving = self.evidence.record_host(now, state, index, request);
+        for notice in &request.limits {
+            self.limits.record(now, state, notice);
+        }
         let changed = self.liveness.record_host(now, host);
         if changed {
             log::info!(
@@ -111,6 +118,9 @@
         }
         let index = readings_fit.then_some(&self.index);
         self.evidence.merge_report(now, state, index, &report);
+        for notice in &report.limits {
+            self.limits.merge(now, state, notice);
+        }
         self.liveness.merge_report(now, report);
     }
 
@@ -125,8 +135,11 @@
         report.revision = latest;
         report.loads = self.loads.take_sums();
         self.evidence.fill_report(now, &self.index, &mut report);
-        let is_empty =
-            report.servers.is_empty() && report.hosts.is_empty() && report.hints.is_empty();
+        report.limits = self.limits.take_report(now);
+        let is_empty = report.servers.is_empty()
+            && report.hosts.is_empty()
+            && report.hints.is_empty()
+            && report.limits.is_empty();
         (!is_empty).then_some(report)
     }
 
@@ -143,9 +156,11 @@
         }
     }
 
-    /// Evicts the processes that have been silent for long.
-    pub(crate) fn evict_silent(&mut self, now: Instant) {
+    /// Evicts the processes that have been silent for long, and what was reported of servers that are
+    /// gone.
+    pub(crate) fn evict_silent(&mut self, now: Instant, state: &FleetState) {
         self.liveness.evict_silent(now, LIVENESS_RETENTION);
+        self.limits.evict_unlisted(state);
     }
 
     /// Returns whether entry hosts should learn at once of servers that became cold or got a hint since
--- a/crates/director/tests/support/mod.rs
+++ b/crates/director/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 use director::call::{CoreAction, CoreCall};
 use director::core::DirectorCore;
+use director::feed::FeedMark;
 use director::message::{FollowReply, FollowRequest, HostStatus, ProposeOutcome};
 use director::metrics::DirectorMetrics;
 use director::settings::DirectorSettings;
@@ -155,6 +156,8 @@
         loads: Vec::new(),
         leaving: Vec::new(),
         unanswered: Vec::new(),
+        limits: Vec::new(),
+        limits_mark: FeedMark::default(),
         hosts_digest: 0,
         cold_digest: 0,
         hints_digest: 0,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use balance::server::{AttemptEnd, ReportedLoad};
 use bytes::Bytes;
 use fleet::limit::RequestRate;
-use http::header::{HeaderMap, CONNECTION, CONTENT_ENCODING, HOST, RETRY_AFTER};
+use http::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_ENCODING, HOST, RETRY_AFTER};
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -189,7 +189,7 @@
             self.pool.release(address, connection);
             return not_run(AttemptEnd::Withdrawn, false, None, "deadline passed".into());
         }
-        if !self.state.balancer().may_send(now, guard.chosen.key) {
+        if !self.state.balancer().may_send(now, &guard.chosen) {
             self.pool.release(address, connection);
             return not_run(
                 AttemptEnd::Withdrawn,
@@ -215,6 +215,7 @@
             }
         };
         guard.limit = self.named_limit(&guard.chosen, response.headers());
+        self.record_limit(request, &guard.chosen, &response, guard.limit, now);
         self.record_notices(&guard.chosen, &response);
         self.read_answer(request, address, connection, response)
             .await
@@ -309,6 +310,41 @@
         }
     }
 
+    /// Records whether an answer names a limit; the request was sent at `sent_at`.
+    fn record_limit(
+        &self,
+        request: &ForwardRequest,
+        chosen: &ChosenServer,
+        response: &Response<Incoming>,
+        limit: Option<RequestRate>,
+        sent_at: Instant,
+    ) {
+        let (status, headers) = (response.status(), response.headers());
+        // Another server has the address.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        // Only an answer to this very request tells that the limit has ended.
+        let id = headers
+            .get(&self.names.request_id)
+            .map(HeaderValue::as_bytes);
+        let is_answer = id == Some(request.id.as_bytes());
+        if limit.is_none() && (!is_answer || headers.contains_key(&self.names.limit)) {
+            return;
+        }
+        let now = Instant::now();
+        let mut balancer = self.state.balancer();
+        if balancer.record_limit(now, &chosen.record, limit, sent_at) {
+            log::info!(
+                target: "server",
+                "limit changed; server={} born={} limit={}",
+                chosen.record.id,
+                chosen.record.born,
+                limit.map_or(-1.0, RequestRate::per_second),
+            );
+        }
+    }
+
     /// Records what an answer asks of this host, as soon as its head is read.
     fn record_notices(&self, chosen: &ChosenServer, response: &Response<Incoming>) {
         let (status, headers) = (response.status(), response.headers());
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -7,6 +7,7 @@
 use async_std::task;
 use director::address;
 use director::core::MAX_CONFIRMATION_AGE;
+use director::feed::FeedMark;
 use director::mesh::MeshLinks;
 use director::message::{FollowReply, FollowRequest, HostStatus, MeshReply, MeshRequest};
 use quorum::ids::ReplicaId;
@@ -97,6 +98,8 @@
             loads: self.state.take_readings(),
             leaving: self.state.take_leaving(),
             unanswered: self.state.take_unanswered(),
+            limits: self.state.take_limits(Instant::now()),
+            limits_mark: versions.limits,
             revision: versions.revision,
             hosts_digest: versions.hosts_digest,
             cold_digest: versions.cold_digest,
@@ -220,6 +223,8 @@
         loads: Vec::new(),
         leaving: Vec::new(),
         unanswered: Vec::new(),
+        limits: Vec::new(),
+        limits_mark: FeedMark::default(),
         revision: None,
         hosts_digest: 0,
         cold_digest: 0,
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -62,8 +62,8 @@
     cause: String,
     /// Time after which the balancer expects to admit a retry.
     retry_after: Option<Duration>,
-    /// Whether that time is the end of a rest that backend servers asked for.
-    rests: bool,
+    /// Whether that time follows from a rest or a limit that backend servers asked for.
+    is_certain: bool,
 }
 
 /// Forwards requests to backend servers.
@@ -279,7 +279,8 @@
 
     /// Returns the refusal of a request that didn't run. Its retry-after time is the time after
     /// which the balancer expects to admit a retry, with jitter so that clients don't retry all at
-    /// once. The end of a rest is certain, so it is given even if the client won't wait for it.
+    /// once. The end of a rest, or of the wait for a
+    /// limit, is certain, so it is given even if the client won't wait for it.
     fn refusal(&self, request: &ForwardRequest, progress: &ForwardProgress) -> HostAnswer {
         let now = Instant::now();
         let retry_after = progress.retry_after.unwrap_or_else(|| {
@@ -287,7 +288,7 @@
             balancer.retry_after_rejection(now, &request.service, &progress.tried)
         });
         let jitter = rand::rng().random_range(1.0..1.0 + RETRY_AFTER_JITTER);
-        let max = match progress.rests {
+        let max = match progress.is_certain {
             true => Duration::MAX,
             false => request.remaining(now).mul_f64(MAX_RETRY_AFTER_SHARE),
         };
@@ -344,7 +345,8 @@
         let first = self.tried.is_empty();
         if first || refusal.cause != RefusalCause::NoServer {
             self.retry_after = Some(refusal.retry_after);
-            self.rests = refusal.cause == RefusalCause::Resting;
+            self.is_certain =
+                matches!(refusal.cause, RefusalCause::Resting | RefusalCause::Limited);
         }
         if first {
             self.cause = refusal.cause.to_string();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,11 +10,13 @@
 use balance::balancer::LoadBalancer;
 use balance::settings::BalanceSettings;
 use clock::pause;
+use director::feed::FeedMark;
 use director::hosts::{self, HostsByName};
 use director::message::{FollowReply, LoadReading, SpillShare};
 use fleet::change::{FleetUpdate, FleetView};
 use fleet::hint::ServerIncarnation;
 use fleet::ids;
+use fleet::limit::LimitNotice;
 use fleet::site::{RouteSpec, SiteConfig};
 use serde::Serialize;
 
@@ -41,6 +43,8 @@
     pub cold_digest: u64,
     /// Digest of the hints that backend servers are leaving.
     pub hints_digest: u64,
+    /// Position in the changes of limits.
+    pub limits: FeedMark,
 }
 
 /// Position of the host in the updates from the control replicas, and the addresses of these.
@@ -76,6 +80,8 @@
     pub hosts: usize,
     /// Load in requests of each backend server that has a recent load report.
     pub loads: BTreeMap<ids::ServerId, f64>,
+    /// Limit in requests a second of each limited backend server, for all hosts together.
+    pub limits: BTreeMap<ids::ServerId, f64>,
 }
 
 /// State that the tasks of an entry host share.
@@ -148,6 +154,11 @@
         self.balancer().take_leaving()
     }
 
+    /// Takes the limits of backend servers to report to the control replicas.
+    pub fn take_limits(&self, now: Instant) -> Vec<LimitNotice> {
+        self.balancer().take_limits(now)
+    }
+
     /// Takes the backend servers, by their position, that left an attempt since the last call without an
     /// answer in time, and have answered none since.
     pub fn take_unanswered(&self) -> Vec<u32> {
@@ -193,6 +204,7 @@
                 .map(|confirmed_at| now.saturating_duration_since(confirmed_at).as_millis()),
             hosts: balancer.host_count(),
             loads: balancer.loads(now),
+            limits: balancer.limits(),
         }
     }
 
@@ -259,6 +271,8 @@
         if let Some(hints) = &reply.hints {
             balancer.set_hints(now, hints);
         }
+        balancer.merge_limits(now, &reply.limits);
+        followed.versions.limits = reply.limits_mark;
         followed.versions.cold_digest = reply.cold_digest;
         followed.versions.hints_digest = reply.hints_digest;
         if reply.hosts.apply(&mut followed.hosts) {
@@ -271,13 +285,16 @@
             };
             let ready = followed.hosts.values().filter(|host| host.ready);
             let ready = ready.map(|host| (host.name.clone(), host.zone.clone()));
-            balancer.set_hosts(ready.collect());
+            balancer.set_hosts(now, ready.collect());
         }
         let confirmed_at = reply.confirmed_ago.and_then(|ago| now.checked_sub(ago));
         if confirmed_at > followed.confirmed_at {
             let age = reply.confirmed_ago.unwrap_or_default();
             followed.confirmed_boot = pause::boot_time().saturating_sub(age);
             followed.confirmed_at = confirmed_at;
+            if let Some(confirmed_at) = confirmed_at {
+                balancer.set_confirmed(confirmed_at);
+            }
         }
     }
 
