feat(gateway): the log tells which attempts belong to the same request

The attempt's line carries a digest of method, host, target, caller and body, which a request has also when it comes again under another id at another host. Nothing acts on the digest yet.

--- a/crates/fleet/src/ids.rs
+++ b/crates/fleet/src/ids.rs
@@ -22,5 +22,8 @@
 /// Index of the log entry that last changed the state.
 pub type Revision = u64;
 
+/// Digest of what tells a caller's request from others: two attempts for one request have the same.
+pub type RequestDigest = u128;
+
 /// Digest of a configuration document.
 pub type SiteDigest = u128;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use balance::query::{AttemptReport, ChosenServer};
 use balance::server::{AttemptEnd, ReportedLoad};
 use bytes::Bytes;
+use fleet::ids;
 use fleet::limit::RequestRate;
 use http::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_ENCODING, HOST, RETRY_AFTER};
 use http::{Request, Response, StatusCode, Uri};
@@ -63,6 +64,7 @@
     chosen: ChosenServer,
     request_id: String,
     object: Option<u64>,
+    digest: ids::RequestDigest,
     started_at: Instant,
     /// Whether the connection had carried a request before; `None` while there is no connection.
     reused: Option<bool>,
@@ -80,6 +82,7 @@
             chosen,
             request_id: request.id.clone(),
             object: request.object,
+            digest: request.digest,
             started_at: Instant::now(),
             reused: None,
             limit: None,
@@ -113,7 +116,7 @@
         let reported = load.map_or(-1, |load| i64::from(load.running + load.waiting));
         log::info!(
             target: "attempt",
-            "attempt ended; request={} server={} service={} address={} object={:x} load={:.1} \
+            "attempt ended; request={} server={} service={} address={} object={:x} digest={:x} load={:.1} \
              affinity={} expected_ms={} reported={reported} limit={} reused={} end={end} \
              took_ms={} \
              what={reason}",
@@ -122,6 +125,7 @@
             chosen.record.service,
             chosen.record.address,
             self.object.unwrap_or_default(),
+            self.digest,
             chosen.load,
             chosen.forecast.affinity,
             chosen.forecast.expected().as_millis(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,11 +3,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use fleet::ids;
 use fleet::site::{RouteKind, RouteSpec};
 use http::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TE, TRAILER};
-use http::header::{TRANSFER_ENCODING, UPGRADE};
+use http::header::{AUTHORIZATION, COOKIE, TRANSFER_ENCODING, UPGRADE};
+use http::uri::PathAndQuery;
 use http::{Method, Uri};
-use xxhash_rust::xxh3;
+use xxhash_rust::xxh3::{self, Xxh3};
 
 use crate::settings::HeaderNames;
 
@@ -53,6 +55,8 @@
     pub deadline: Instant,
     /// Digest of the object that the request is about, if its route is sticky.
     pub object: Option<u64>,
+    /// Digest of the whole request.
+    pub digest: ids::RequestDigest,
 }
 
 impl ForwardRequest {
@@ -100,6 +104,33 @@
     Some(xxh3::xxh3_64_with_seed(value.as_bytes(), seed))
 }
 
+/// Returns the digest of a request by its method, host, target, caller and body. A request that comes
+/// again, under another id, at any host, has the same.
+pub fn request_digest(
+    names: &HeaderNames,
+    method: &Method,
+    host: &str,
+    target: &Uri,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> ids::RequestDigest {
+    let path = target.path_and_query().map_or("/", PathAndQuery::as_str);
+    let mut hasher = Xxh3::new();
+    for part in [method.as_str(), host, path] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    for name in [&names.object, &AUTHORIZATION, &COOKIE] {
+        for value in headers.get_all(name) {
+            hasher.update(&(value.len() as u64).to_le_bytes());
+            hasher.update(value.as_bytes());
+        }
+        hasher.update(&u64::MAX.to_le_bytes());
+    }
+    hasher.update(body);
+    hasher.digest128()
+}
+
 /// Removes the hop-by-hop headers, and the headers that `connection` lists.
 pub fn strip_hop_by_hop_headers(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -321,9 +321,12 @@
             }
             None => Bytes::new(),
         };
+        let (method, target) = (&parts.method, &parts.uri);
+        let digest = request::request_digest(names, method, &host, target, &headers, &body);
         request::strip_hop_by_hop_headers(&mut headers);
         Ok(ForwardRequest {
             id,
+            digest,
             method: parts.method,
             target: parts.uri,
             headers,
