fix(director): limits survive lost calls and lost reports

Found by reading the path of the end of a limit.

Now a host reports until a replica has answered; a replica repeats for 2 s what hosts told it, and reports all limits every 5 s. Two tests fail before (0 notices for 1 in the second report, at a host and at a replica) and pass now.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -380,17 +380,19 @@
 
     /// Records that a control replica received the latest reports.
     pub fn confirm_report(&mut self) {
+        self.limits.confirm_report();
         self.quarantine.confirm_report();
     }
 
-    /// Takes the limits to report to the control replicas.
-    pub fn take_limits(&mut self, now: Instant) -> Vec<LimitNotice> {
+    /// Returns the limits to report to the control replicas, until
+    /// [`confirm_report`](Self::confirm_report) is called.
+    pub fn report_limits(&mut self, now: Instant) -> Vec<LimitNotice> {
         let (keys, servers) = (&self.keys, &self.servers);
         self.limits.evict(now, |incarnation| {
             let server = keys.get(&incarnation.id).map(|key| &servers[*key]);
             server.is_some_and(|server| server.record.born == incarnation.born)
         });
-        self.limits.take_report(now)
+        self.limits.report(now)
     }
 
     /// Passes the limit of an incarnation on to its server, if that is in the view.
--- a/crates/balance/src/limit.rs
+++ b/crates/balance/src/limit.rs
@@ -132,6 +132,8 @@
     table: LimitTable,
     /// Incarnations whose limit is to be reported.
     unreported: HashSet<ServerIncarnation>,
+    /// Those in the running report, which may get lost.
+    in_report: HashSet<ServerIncarnation>,
     reported_at: HashMap<ServerIncarnation, Instant>,
     evicted_at: Option<Instant>,
 }
@@ -175,17 +177,23 @@
         update == LimitUpdate::Changed
     }
 
-    /// Takes the limits to report to the control replicas.
-    pub(crate) fn take_report(&mut self, now: Instant) -> Vec<LimitNotice> {
-        let servers = std::mem::take(&mut self.unreported);
-        let mut report = Vec::with_capacity(servers.len());
-        for server in servers {
-            report.extend(self.table.notice(now, &server));
-            self.reported_at.insert(server, now);
+    /// Returns the limits to report to the control replicas, until
+    /// [`confirm_report`](Self::confirm_report) is called.
+    pub(crate) fn report(&mut self, now: Instant) -> Vec<LimitNotice> {
+        self.in_report.extend(self.unreported.drain());
+        let mut report = Vec::with_capacity(self.in_report.len());
+        for server in &self.in_report {
+            report.extend(self.table.notice(now, server));
+            self.reported_at.insert(server.clone(), now);
         }
         report
     }
 
+    /// Records that a control replica received the latest report.
+    pub(crate) fn confirm_report(&mut self) {
+        self.in_report.clear();
+    }
+
     /// Returns the rate that an incarnation takes, if it is limited.
     pub(crate) fn rate(&self, server: &ServerIncarnation) -> Option<RequestRate> {
         if self.table.is_empty() {
--- a/crates/balance/tests/limits.rs
+++ b/crates/balance/tests/limits.rs
@@ -295,11 +295,11 @@
     let mut first = single_host(start);
     let mut second = single_host(start);
     first.record_limit(start, &server(), Some(rate(0.1)), start);
-    second.merge_limits(start, &first.take_limits(start));
+    second.merge_limits(start, &first.report_limits(start));
     let now = start + Duration::from_millis(100);
     assert!(!is_chosen(&mut second, now));
     first.record_limit(now, &server(), None, now);
-    let ended = first.take_limits(now);
+    let ended = first.report_limits(now);
     assert_eq!(ended.len(), 1);
     second.merge_limits(now, &ended);
     assert!(is_chosen(&mut second, now));
@@ -313,6 +313,23 @@
     assert!(is_chosen(&mut second, now));
 }
 
+/// A call to a control replica may fail, also the one that carries the end of a limit.
+#[test]
+fn limits_that_no_replica_received_are_reported_again() {
+    let now = Instant::now();
+    let mut host = single_host(now);
+    host.record_limit(now, &server(), Some(rate(0.1)), now);
+    assert_eq!(host.report_limits(now).len(), 1);
+    let later = now + Duration::from_secs(1);
+    host.record_limit(later, &server(), None, later);
+    assert_eq!(host.report_limits(later).len(), 1);
+    let again = host.report_limits(later);
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].rate, None);
+    host.confirm_report();
+    assert!(host.report_limits(later).is_empty());
+}
+
 /// A limit concerns one incarnation, also one that is removed and announced again.
 #[test]
 fn a_limit_holds_for_its_incarnation() {
--- a/crates/director/src/limits.rs
+++ b/crates/director/src/limits.rs
@@ -1,7 +1,7 @@
 //! Limits of backend servers, which entry hosts report and learn from each other.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use fleet::hint::ServerIncarnation;
 use fleet::ids;
@@ -10,13 +10,21 @@
 
 use crate::feed::{ChangeFeed, FeedEpoch, FeedMark};
 
+/// Time for which a limit that an entry host reported is in each report to the other replicas, as reports
+/// may be lost.
+const REPORT_PERIOD: Duration = Duration::from_secs(2);
+
+/// Time between two reports of all limits, for replicas that have started meanwhile.
+const FULL_REPORT_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Limits of the listed backend servers, with the changes for entry hosts.
 #[derive(Debug)]
 pub struct LimitRegister {
     table: LimitTable,
     changes: ChangeFeed<ServerIncarnation>,
-    /// Incarnations with reports of entry hosts to this replica since its previous report.
-    unreported: BTreeSet<ServerIncarnation>,
+    /// Times at which entry hosts last reported limits to this replica.
+    reported: BTreeMap<ServerIncarnation, Instant>,
+    next_full_report: Option<Instant>,
 }
 
 /// Returns whether an incarnation is the one that is listed.
@@ -31,14 +39,15 @@
         Self {
             table: LimitTable::default(),
             changes: ChangeFeed::new(epoch),
-            unreported: BTreeSet::new(),
+            reported: BTreeMap::new(),
+            next_full_report: None,
         }
     }
 
     /// Records what an entry host reports. Unlisted incarnations are ignored.
     pub fn record(&mut self, now: Instant, state: &FleetState, notice: &LimitNotice) {
         if self.merge(now, state, notice) != LimitUpdate::Outdated {
-            self.unreported.insert(notice.server.clone());
+            self.reported.insert(notice.server.clone(), now);
         }
     }
 
@@ -65,14 +74,19 @@
     pub fn evict_unlisted(&mut self, state: &FleetState) {
         self.table.retain(|server, _| is_listed(state, server));
         self.changes.retain(|server| is_listed(state, server));
-        self.unreported.retain(|server| is_listed(state, server));
+        self.reported.retain(|server, _| is_listed(state, server));
     }
 
-    /// Returns what entry hosts reported to this replica since the previous call.
-    pub fn take_report(&mut self, now: Instant) -> Vec<LimitNotice> {
-        let unreported = std::mem::take(&mut self.unreported);
-        let notices = unreported.iter();
-        notices
+    /// Returns the limits for a report to the other replicas.
+    pub fn report(&mut self, now: Instant) -> Vec<LimitNotice> {
+        if self.next_full_report.is_none_or(|at| now >= at) {
+            self.next_full_report = Some(now + FULL_REPORT_INTERVAL);
+            return self.since(now, FeedMark::default());
+        }
+        self.reported
+            .retain(|_, reported_at| now < *reported_at + REPORT_PERIOD);
+        let servers = self.reported.keys();
+        servers
             .filter_map(|server| self.table.notice(now, server))
             .collect()
     }
--- a/crates/director/src/observer.rs
+++ b/crates/director/src/observer.rs
@@ -145,7 +145,7 @@
         report.revision = latest;
         report.loads = self.loads.take_sums();
         self.evidence.fill_report(now, &self.index, &mut report);
-        report.limits = self.limits.take_report(now);
+        report.limits = self.limits.report(now);
         report.runs = self.suspects.report(now);
         let is_empty = report.servers.is_empty()
             && report.hosts.is_empty()
--- a/crates/director/tests/limits.rs
+++ b/crates/director/tests/limits.rs
@@ -79,6 +79,24 @@
     assert!(since.iter().all(|notice| notice.rate.is_none()));
 }
 
+/// Reports between replicas may be lost, and a replica that starts knows nothing of earlier ones.
+#[test]
+fn replicas_tell_each_other_of_a_limit_more_than_once() {
+    let start = Instant::now();
+    let state = state(&["s1"]);
+    let mut register = LimitRegister::new(1);
+    register.record(start, &state, &notice("s1", 1, 8.0));
+    let _lost = register.report(start);
+    let next = start + Duration::from_millis(400);
+    assert_eq!(register.report(next).len(), 1);
+    let mut reports = 0;
+    for step in 2..50 {
+        let now = start + Duration::from_millis(400) * step;
+        reports += register.report(now).len();
+    }
+    assert!((2..15).contains(&reports), "{reports} reports in 20 s");
+}
+
 /// What is remembered is bounded by the servers that are listed.
 #[test]
 fn limits_of_servers_that_are_not_listed_are_forgotten() {
@@ -91,7 +109,7 @@
     assert_eq!(register.since(now, FeedMark::default()).len(), 1);
     register.evict_unlisted(&state(&["s2"]));
     assert!(register.since(now, FeedMark::default()).is_empty());
-    assert!(register.take_report(now).is_empty());
+    assert!(register.report(now).is_empty());
 }
 
 /// Calls as a host without a state, which reports limits.
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -98,7 +98,7 @@
             loads: self.state.take_readings(),
             leaving: self.state.take_leaving(),
             unanswered: self.state.take_unanswered(),
-            limits: self.state.take_limits(Instant::now()),
+            limits: self.state.report_limits(Instant::now()),
             limits_mark: versions.limits,
             runs: self.state.report_runs(Instant::now()),
             watched_digest: versions.watched_digest,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -170,9 +170,10 @@
         self.balancer().confirm_report();
     }
 
-    /// Takes the limits of backend servers to report to the control replicas.
-    pub fn take_limits(&self, now: Instant) -> Vec<LimitNotice> {
-        self.balancer().take_limits(now)
+    /// Returns the limits of backend servers to report to the control replicas until
+    /// [`confirm_report`](Self::confirm_report).
+    pub fn report_limits(&self, now: Instant) -> Vec<LimitNotice> {
+        self.balancer().report_limits(now)
     }
 
     /// Takes the backend servers, by their position, that left an attempt since the last call without an
