test(balance): servers that work on cold objects must not be taken for dead; known red

Cause: the timer of the hedge, at 0.4 of the deadline at the latest, counts as silence of the server. The simulation can end requests at their deadline also at servers that work on them.

--- a/crates/balance/tests/outages.rs
+++ b/crates/balance/tests/outages.rs
@@ -166,3 +166,45 @@
         alone.in_time
     );
 }
+
+/// 20 hosts have as many requests as 40 servers can run when their caches are full. The servers start with
+/// empty caches, whose runs last about as long as a request may take.
+fn cold_fleet(uncached: f64) -> SimulatedFleet {
+    let zones = ["east-a", "east-b"];
+    let servers = zones.map(|zone| (zone, 20));
+    let mut fleet = SimulatedFleet::new(&zones.repeat(10), &servers, 4, 21);
+    fleet.cancels = true;
+    fleet.times = RequestTimes {
+        cached: 0.3,
+        uncached,
+        target: 0.5,
+        deadline: 1.5,
+    };
+    fleet
+}
+
+/// Guards against live servers that are taken for dead while they work on requests for cold objects.
+#[rstest]
+#[case::shorter_than_the_deadline(1.35)]
+#[case::as_long_as_the_deadline(1.5)]
+#[case::longer_than_the_deadline(2.25)]
+fn servers_that_work_on_cold_objects_are_not_taken_for_dead(#[case] uncached: f64) {
+    let mut fleet = cold_fleet(uncached);
+    fleet.simulate(0.0, 12.0, &BTreeMap::from([("east", 200.0)]), 600);
+    assert_eq!(fleet.outages_found, 0);
+}
+
+/// What callers get while some servers are dead and the others are cold.
+#[test]
+fn dead_servers_are_found_among_cold_ones() {
+    let mut fleet = cold_fleet(0.9);
+    let rates = BTreeMap::from([("east", 100.0)]);
+    fleet.silent = (0..6)
+        .flat_map(|n| [format!("east-a-{n}"), format!("east-b-{n}")])
+        .collect();
+    fleet.simulate(0.0, 16.0, &rates, 300);
+    let found = fleet.unresponsive.intersection(&fleet.silent).count();
+    assert!(found * 2 > fleet.silent.len(), "{found} dead servers found");
+    let wrongly = fleet.unresponsive.difference(&fleet.silent).count();
+    assert_eq!(wrongly, 0, "{:?}", fleet.unresponsive);
+}
--- a/crates/balance/tests/simulation/mod.rs
+++ b/crates/balance/tests/simulation/mod.rs
@@ -131,14 +131,27 @@
     slots: usize,
     /// Number of objects that fit into the cache.
     cache_size: usize,
-    running: usize,
+    /// Numbers of the requests that run.
+    running: BTreeSet<u64>,
     queue: VecDeque<SimulatedRequest>,
     /// Cached objects, from least to most recently used.
     cache: VecDeque<u64>,
 }
 
+impl SimulatedServer {
+    /// Makes an object the latest one in the cache.
+    fn fill_cache(&mut self, object: u64) {
+        self.cache.retain(|other| *other != object);
+        self.cache.push_back(object);
+        if self.cache.len() > self.cache_size {
+            self.cache.pop_front();
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct SimulatedRequest {
+    number: u64,
     host: usize,
     object: u64,
     sent_at: f64,
@@ -207,6 +220,14 @@
     pub shares_outages: bool,
     /// Servers that answer nothing.
     pub silent: BTreeSet<String>,
+    /// Whether a request ends at its deadline also at a server that works on it.
+    pub cancels: bool,
+    /// Servers that have been taken for dead, and how often that happened.
+    pub unresponsive: BTreeSet<String>,
+    pub outages_found: usize,
+    /// Numbers of the requests without a result, and the next number.
+    outstanding: BTreeSet<u64>,
+    next_number: u64,
     outages: OutageTable,
     exchanged_at: f64,
     servers: BTreeMap<String, SimulatedServer>,
@@ -255,6 +276,11 @@
             shares_loads: true,
             shares_outages: true,
             silent: BTreeSet::new(),
+            cancels: false,
+            unresponsive: BTreeSet::new(),
+            outages_found: 0,
+            outstanding: BTreeSet::new(),
+            next_number: 0,
             outages: OutageTable::default(),
             exchanged_at: 0.0,
             servers: servers.collect(),
@@ -338,7 +364,10 @@
                 self.outages.record_unanswered(now, &server, number as u64);
             }
         }
-        self.outages.refresh(now);
+        let found = self.outages.refresh(now);
+        self.outages_found += found.len();
+        self.unresponsive
+            .extend(found.into_iter().map(|server| server.id));
         let hints = self.outages.current(now);
         for (balancer, _) in &mut self.hosts {
             balancer.set_hints(now, &hints);
@@ -406,13 +435,16 @@
             .entry((region.to_string(), ran))
             .or_default() += 1;
         let id = chosen.record.id.clone();
+        self.next_number += 1;
+        self.outstanding.insert(self.next_number);
         let request = SimulatedRequest {
+            number: self.next_number,
             host,
             object,
             sent_at: at,
             chosen,
         };
-        if self.silent.contains(&id) {
+        if self.silent.contains(&id) || self.cancels {
             let overdue = 3.0 * request.chosen.forecast.seconds();
             let overdue = overdue.clamp(0.12, 0.4 * self.times.deadline);
             let events = [
@@ -423,6 +455,8 @@
                 let end = RequestEnd(at + after, id.clone(), request.clone(), event);
                 self.ends.push(end);
             }
+        }
+        if self.silent.contains(&id) {
             return;
         }
         self.servers.get_mut(&id).unwrap().queue.push_back(request);
@@ -433,16 +467,14 @@
     fn start_queued(&mut self, at: f64, id: &str) {
         let mut uncached = 0;
         let server = self.servers.get_mut(id).unwrap();
-        while server.running < server.slots {
+        while server.running.len() < server.slots {
             let Some(request) = server.queue.pop_front() else {
                 break;
             };
-            server.running += 1;
+            server.running.insert(request.number);
             let cached = server.cache.contains(&request.object);
-            server.cache.retain(|object| *object != request.object);
-            server.cache.push_back(request.object);
-            if server.cache.len() > server.cache_size {
-                server.cache.pop_front();
+            if !self.cancels {
+                server.fill_cache(request.object);
             }
             let processing = if cached {
                 self.times.cached
@@ -461,14 +493,18 @@
         self.window_at(at).uncached += uncached;
     }
 
-    /// Handles that a request has no answer yet, or gets none any more.
-    fn miss_answer(&mut self, at: f64, request: &SimulatedRequest, event: RequestEvent) {
+    /// Handles that a request to a server has no answer yet, or gets none any more.
+    fn miss_answer(&mut self, at: f64, id: &str, request: &SimulatedRequest, event: RequestEvent) {
+        if !self.outstanding.contains(&request.number) {
+            return;
+        }
         let now = self.at(at);
         let balancer = &mut self.hosts[request.host].0;
         if event == RequestEvent::Overdue {
             balancer.record_late(request.chosen.key);
             return;
         }
+        self.outstanding.remove(&request.number);
         let report = AttemptReport {
             end: AttemptEnd::Dropped,
             took: Duration::from_secs_f64(at - request.sent_at),
@@ -478,6 +514,13 @@
         };
         balancer.finish(now, request.chosen.key, report);
         self.window_at(request.sent_at).lost += 1;
+        let server = self.servers.get_mut(id).unwrap();
+        server
+            .queue
+            .retain(|queued| queued.number != request.number);
+        if server.running.remove(&request.number) {
+            self.start_queued(at, id);
+        }
     }
 
     /// Finishes the requests that end up to a time.
@@ -485,13 +528,19 @@
         while self.ends.peek().is_some_and(|end| end.0 <= to) {
             let RequestEnd(at, id, request, event) = self.ends.pop().unwrap();
             if event != RequestEvent::Answered {
-                self.miss_answer(at, &request, event);
+                self.miss_answer(at, &id, &request, event);
+                continue;
+            }
+            if !self.outstanding.remove(&request.number) {
                 continue;
             }
             let server = self.servers.get_mut(&id).unwrap();
-            server.running -= 1;
+            server.running.remove(&request.number);
+            if self.cancels {
+                server.fill_cache(request.object);
+            }
             let load = ReportedLoad {
-                running: server.running as u32,
+                running: server.running.len() as u32,
                 waiting: server.queue.len() as u32,
                 slots: server.slots as u32,
             };
