fix(balance): a failure doesn't clear a request with which servers ended

A server that fails at random, or after a request waited for too long, answers without beginning to run it; such an answer cleared a request that ends servers, and released its quarantine. Now only an answer that is no failure clears. The test fails before and passes now. The list of watched requests is made anew only where it may change, lines that any answer can cause count towards the bound of the log, and the check for a listener ends after 100 ms.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -230,6 +230,10 @@
     /// A report for a server that is gone is ignored. Returns whether the server's zone counts as cut
     /// off from now on.
     pub fn finish(&mut self, now: Instant, key: ServerKey, report: AttemptReport) -> bool {
+        // A server that fails may answer without beginning to run the request.
+        if report.end == AttemptEnd::Answered {
+            self.quarantine.record_answer(now, report.request);
+        }
         let Some(server) = self.servers.get_mut(key) else {
             return false;
         };
@@ -357,11 +361,6 @@
             .record_end(now, request, server.incarnation());
     }
 
-    /// Records that a backend server answered a request.
-    pub fn record_answer(&mut self, now: Instant, request: ids::RequestDigest) {
-        self.quarantine.record_answer(now, request);
-    }
-
     /// Sets the requests whose answers are reported to the control replicas.
     pub fn set_watched(&mut self, requests: Vec<ids::RequestDigest>) {
         self.quarantine.set_watched(requests);
--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -158,6 +158,8 @@
     pub load: Option<ReportedLoad>,
     /// Digest of the object that the request is about.
     pub object: Option<u64>,
+    /// Digest of the request.
+    pub request: ids::RequestDigest,
     /// Forecast from the choice of the server.
     pub forecast: LatencyForecast,
 }
--- a/crates/balance/tests/choice.rs
+++ b/crates/balance/tests/choice.rs
@@ -36,6 +36,7 @@
         took: Duration::ZERO,
         load: None,
         object: None,
+        request: 0,
         forecast: chosen.forecast,
     };
     balancer.finish(now, chosen.key, report);
@@ -116,6 +117,7 @@
         took: Duration::from_millis(5),
         load: None,
         object: None,
+        request: 0,
         forecast: first.forecast,
     };
     balancer.finish(now, first.key, report);
@@ -251,6 +253,7 @@
             took: Duration::ZERO,
             load: None,
             object: Some(object),
+            request: 0,
             forecast: chosen.forecast,
         };
         balancer.finish(now, chosen.key, report);
@@ -291,6 +294,7 @@
                 slots: 4,
             }),
             object: None,
+            request: 0,
             forecast: chosen.forecast,
         };
         balancer.finish(now, chosen.key, report);
--- a/crates/balance/tests/notices.rs
+++ b/crates/balance/tests/notices.rs
@@ -191,6 +191,7 @@
                 took: Duration::from_millis(10),
                 load: (chosen.record.id == id).then_some(load),
                 object: None,
+                request: 0,
                 forecast: chosen.forecast,
             };
             balancer.finish(now, chosen.key, report);
--- a/crates/balance/tests/quarantine.rs
+++ b/crates/balance/tests/quarantine.rs
@@ -15,6 +15,8 @@
 
 use balance::balancer::LoadBalancer;
 use balance::quarantine::RunAdmission;
+use balance::query::AttemptReport;
+use balance::server::AttemptEnd;
 use director::suspects::SuspectRegister;
 use fleet::change::{FleetChange, FleetView};
 use fleet::ids;
@@ -23,7 +25,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use simulation::{record, settings};
+use simulation::{query, record, settings};
 
 const ZONES: [&str; 1] = ["east-a"];
 
@@ -51,9 +53,25 @@
     let mut host = LoadBalancer::new(settings(&format!("host-{number}"), "east-a", &ZONES));
     host.set_hosts(now, names.to_vec());
     host.set_confirmed(now);
+    let answering = record("s0", "east-a", 400);
+    host.apply(now, &FleetChange::Server(answering));
     host
 }
 
+/// Lets a server answer a request of a host.
+fn answer(host: &mut LoadBalancer, now: Instant, request: ids::RequestDigest, end: AttemptEnd) {
+    let chosen = host.choose(now, &query(None)).unwrap();
+    let report = AttemptReport {
+        end,
+        took: Duration::from_millis(10),
+        load: None,
+        object: None,
+        request,
+        forecast: chosen.forecast,
+    };
+    host.finish(now, chosen.key, report);
+}
+
 /// Hosts that follow control replicas, one of which leads.
 struct QuarantineFleet {
     now: Instant,
@@ -92,7 +110,9 @@
 
     fn restart_host(&mut self, number: usize) {
         self.hosts[number] = host(self.now, number, &self.names);
-        let view = FleetView::of(&self.state);
+        let mut view = FleetView::of(&self.state);
+        let answering = record("s0", "east-a", 400);
+        view.servers.insert(answering.id.clone(), answering);
         self.hosts[number].set_view(self.now, &view);
     }
 
@@ -265,7 +285,7 @@
         if step % 20 == 0 {
             host.record_crash(now, HEALTHY, &server(step));
         } else {
-            host.record_answer(now, HEALTHY);
+            answer(host, now, HEALTHY, AttemptEnd::Answered);
         }
     }
     assert!(held * 50 < sent, "{held} of {sent} held back");
@@ -288,7 +308,7 @@
             if host.admission(fleet.now, HEALTHY) == RunAdmission::Trial {
                 trials += 1;
                 host.begin_trial(fleet.now, HEALTHY);
-                host.record_answer(fleet.now, HEALTHY);
+                answer(host, fleet.now, HEALTHY, AttemptEnd::Answered);
             }
         }
     }
@@ -312,3 +332,22 @@
     host.confirm_report();
     assert_eq!(host.report_runs(later).len(), 1);
 }
+
+/// A server may answer a request with a failure before it begins to run it, at random or because the
+/// request waited for too long.
+#[test]
+fn a_failure_does_not_clear_a_request_with_which_servers_ended() {
+    let now = Instant::now();
+    let mut host = host(now, 0, &[]);
+    for number in 0..3 {
+        host.record_crash(now, HARMFUL, &server(number));
+        answer(&mut host, now, HARMFUL, AttemptEnd::Failed);
+    }
+    assert!(matches!(
+        host.admission(now, HARMFUL),
+        RunAdmission::Held(_)
+    ));
+    assert_eq!(host.report_runs(now).len(), 3);
+    answer(&mut host, now, HARMFUL, AttemptEnd::Answered);
+    assert_eq!(host.admission(now, HARMFUL), RunAdmission::Free);
+}
--- a/crates/balance/tests/simulation/mod.rs
+++ b/crates/balance/tests/simulation/mod.rs
@@ -37,6 +37,7 @@
         took: Duration::from_millis(10),
         load: None,
         object: None,
+        request: 0,
         forecast: chosen.forecast,
     };
     balancer.finish(now, chosen.key, report)
@@ -510,6 +511,7 @@
             took: Duration::from_secs_f64(at - request.sent_at),
             load: None,
             object: Some(request.object),
+            request: 0,
             forecast: request.chosen.forecast,
         };
         balancer.finish(now, request.chosen.key, report);
@@ -551,6 +553,7 @@
                 took: Duration::from_secs_f64(took),
                 load: Some(load),
                 object: Some(request.object),
+                request: 0,
                 forecast: request.chosen.forecast,
             };
             let now = self.at(at);
--- a/crates/director/src/suspects.rs
+++ b/crates/director/src/suspects.rs
@@ -75,9 +75,12 @@
     /// Merges what another replica reports. Returns whether it adds anything.
     pub fn merge(&mut self, now: Instant, notice: &RunNotice) -> bool {
         let at = now.checked_sub(notice.ago).unwrap_or(now);
+        let was_watched = self.table.watched_since(notice.request).is_some();
         let adds = self.table.record(now, notice.request, &notice.evidence, at);
         if adds {
             self.undecided.insert(notice.request);
+        }
+        if was_watched || self.table.watched_since(notice.request).is_some() {
             self.watched = WatchList::new(self.table.watched(now));
         }
         adds
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -112,16 +112,10 @@
             took,
             load,
             object: self.object,
+            request: self.digest,
             forecast: chosen.forecast,
         };
-        let is_cut_off = {
-            let mut balancer = self.state.balancer();
-            if matches!(end, AttemptEnd::Answered | AttemptEnd::Failed) {
-                balancer.record_answer(now, self.digest);
-            }
-            balancer.finish(now, chosen.key, report)
-        };
-        if is_cut_off {
+        if self.state.balancer().finish(now, chosen.key, report) {
             log::info!(
                 target: "server",
                 "no server of the zone is reached, leaving it alone; zone={}",
@@ -354,7 +348,7 @@
         if !check.await {
             return broken(reason);
         }
-        log::warn!(
+        log::info!(
             target: "server",
             "server ended while it ran a request; server={} born={} request={} digest={:x}",
             chosen.record.id,
@@ -377,7 +371,7 @@
             Ok(rate) => Some(rate),
             Err(e) => {
                 let server = &chosen.record.id;
-                log::warn!(target: "server", "limit ignored; server={server} value={value:?} error={e}");
+                log::info!(target: "server", "limit ignored; server={server} value={value:?} error={e}");
                 None
             }
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -28,7 +28,7 @@
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 
 /// Time limit of the check whether anything listens at an address.
-const LISTENER_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+const LISTENER_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Idle time up to which a connection is assumed to be open for a request that must not run twice.
 pub const UNSAFE_IDLE_LIMIT: Duration = Duration::from_secs(4);
