fix(gateway): only a success tells that a server's limit has ended

A failure or a rejection without the header ended a limit, though a server may write it without what it says otherwise; other hosts would then send again. What an answer says of a limit is read by code of its own (gateway::limit), with tests of each status, which weren't run on the code of before, as it had no such unit.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,12 +12,13 @@
 use bytes::Bytes;
 use fleet::ids;
 use fleet::limit::RequestRate;
-use http::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_ENCODING, HOST, RETRY_AFTER};
+use http::header::{HeaderMap, CONNECTION, CONTENT_ENCODING, HOST, RETRY_AFTER};
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::buffer::{BufferBudget, BufferError};
+use crate::limit::LimitReading;
 use crate::metrics::GatewayMetrics;
 use crate::pool::{self, ConnectError, ServerConnection, ServerPool};
 use crate::request::{self, ForwardRequest};
@@ -237,8 +238,7 @@
                     .await;
             }
         };
-        guard.limit = self.named_limit(&guard.chosen, response.headers());
-        self.record_limit(request, &guard.chosen, &response, guard.limit, now);
+        guard.limit = self.record_limit(request, &guard.chosen, &response, now);
         self.record_notices(&guard.chosen, &response);
         self.read_answer(request, &guard.chosen, connection, response)
             .await
@@ -363,53 +363,38 @@
         )
     }
 
-    /// Returns the request rate that an answer names as the limit of its backend server.
-    fn named_limit(&self, chosen: &ChosenServer, headers: &HeaderMap) -> Option<RequestRate> {
-        let value = headers.get(&self.names.limit)?;
-        let text = value.to_str().unwrap_or_default();
-        match RequestRate::try_from(text) {
-            Ok(rate) => Some(rate),
-            Err(e) => {
-                let server = &chosen.record.id;
-                log::info!(target: "server", "limit ignored; server={server} value={value:?} error={e}");
-                None
-            }
-        }
-    }
-
-    /// Records whether an answer names a limit; the request was sent at `sent_at`.
+    /// Records what an answer says of the limit of its server, and returns the rate that it names. The
+    /// request was sent at `sent_at`.
     fn record_limit(
         &self,
         request: &ForwardRequest,
         chosen: &ChosenServer,
         response: &Response<Incoming>,
-        limit: Option<RequestRate>,
         sent_at: Instant,
-    ) {
+    ) -> Option<RequestRate> {
         let (status, headers) = (response.status(), response.headers());
-        // Another server has the address.
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            return;
-        }
-        // Only an answer to this very request tells that the limit has ended.
-        let id = headers
-            .get(&self.names.request_id)
-            .map(HeaderValue::as_bytes);
-        let is_answer = id == Some(request.id.as_bytes());
-        if limit.is_none() && (!is_answer || headers.contains_key(&self.names.limit)) {
-            return;
-        }
-        let now = Instant::now();
+        let reading = LimitReading::read(&self.names, &request.id, status, headers);
+        let reading = match reading {
+            Ok(LimitReading::Unknown) => return None,
+            Ok(reading) => reading,
+            Err(e) => {
+                let server = &chosen.record.id;
+                log::info!(target: "server", "limit ignored; server={server} error={e}");
+                return None;
+            }
+        };
+        let (now, rate) = (Instant::now(), reading.rate());
         let mut balancer = self.state.balancer();
-        if balancer.record_limit(now, &chosen.record, limit, sent_at) {
+        if balancer.record_limit(now, &chosen.record, rate, sent_at) {
             log::info!(
                 target: "server",
                 "limit changed; server={} born={} limit={}",
                 chosen.record.id,
                 chosen.record.born,
-                limit.map_or(-1.0, RequestRate::per_second),
+                rate.map_or(-1.0, RequestRate::per_second),
             );
         }
+        rate
     }
 
     /// Records what an answer asks of this host, as soon as its head is read.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`attempt`] | one attempt at one backend server |
 //! | [`pool`] | connections to backend servers |
 //! | [`buffer`] | memory for buffered bodies |
+//! | [`limit`] | what an answer says of its server's limit |
 //! | [`metrics`] | counters and histograms |
 //! | [`answer`] | answers that the host generates itself |
 
@@ -26,6 +27,7 @@
 pub mod buffer;
 pub mod follower;
 pub mod forwarder;
+pub mod limit;
 pub mod metrics;
 pub mod pipeline;
 pub mod pool;
--- a/crates/gateway/tests/digest.rs
+++ b/crates/gateway/tests/digest.rs
@@ -1,25 +1,12 @@
 //! The digest that tells whether two attempts of clients are the same request.
 #![allow(missing_docs, clippy::unwrap_used)]
 
+mod support;
+
 use gateway::request;
-use gateway::settings::HeaderNames;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Uri};
-
-fn names() -> HeaderNames {
-    let name = HeaderName::from_static;
-    HeaderNames {
-        request_id: name("id"),
-        deadline: name("deadline"),
-        object: name("object"),
-        target_server: name("target"),
-        signature: name("signature"),
-        not_run: name("not-run"),
-        load: name("load"),
-        leaving: name("leaving"),
-        limit: name("limit"),
-    }
-}
+use support::names;
 
 fn digest(host: &str, target: &'static str, headers: &[(&'static str, &str)], body: &str) -> u128 {
     let target = Uri::from_static(target);
