test(review): show that concurrent uploads take an entry host over its memory

Adds a review case and the stand-ins that it needs. Clients upload pages within max_body_bytes to one entry host; a stand-in platform ends the process once it uses more than memory_mb. Requests that must not run twice, passed on from kept connections, are then cut without an answer (rule LOST).

Nothing is fixed.

--- /dev/null
+++ b/review/standin/src/cases/mod.rs
@@ -0,0 +1,4 @@
+pub mod ready_answers;
+pub mod uploads;
+pub mod serve;
+pub mod growing_core;
