test(review): show that a replaced voter becomes a second leader

A voter that froze and was replaced is told "admitted" by any replica whose log still has the bootstrap entry, and counts itself though it is no voter. In a split of the core it leads with two of five voters, so two changes on top of the same version are both acknowledged (rule CONFIG).

Nothing is fixed.

--- a/review/standin/src/cases/ready_answers.rs
+++ b/review/standin/src/cases/ready_answers.rs
@@ -35,7 +35,7 @@
 }
 
 pub fn run(record: &Record, trouble: bool) -> Outcome {
-    let terms = Terms { memory_mb: 160, grace: "6s" };
+    let terms = Terms::default();
     let mut deployment = Deployment::new(terms, "ready-answers");
     let outcome = play(record, trouble, &mut deployment);
     deployment.stop(record);
--- a/review/standin/src/cases/serve.rs
+++ b/review/standin/src/cases/serve.rs
@@ -1,7 +1,7 @@
 use crate::deployment::{self, Deployment, Route, Terms};
 use crate::{client, endpoint, record::Record, Outcome};
 pub fn run(record: &Record) -> Outcome {
-    let mut d = Deployment::new(Terms { memory_mb: 260, grace: "6s" }, "serve");
+    let mut d = Deployment::new(Terms::default(), "serve");
     d.start_all(2);
     let r = |prefix, kind| Route { prefix, kind, service: "print-desk", timeout_ms: 60_000, target_ms: 20_000 };
     let c = deployment::configuration(1, 0, &["print-desk"], &[r("/page/", "safe"), r("/book/", "unsafe")]);
--- a/review/standin/src/cases/uploads.rs
+++ b/review/standin/src/cases/uploads.rs
@@ -45,7 +45,7 @@
 }
 
 pub fn run(record: &Record, trouble: bool) -> Outcome {
-    let terms = Terms { memory_mb: MEMORY_MB, grace: "6s" };
+    let terms = Terms { memory_mb: MEMORY_MB, ..Terms::default() };
     let mut deployment = Deployment::new(terms, "uploads");
     let outcome = play(record, trouble, &mut deployment);
     deployment.stop(record);
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -16,8 +16,12 @@
 /// Port of the metrics, which the deploy file fixes; each machine therefore needs an address of its own.
 const METRICS_PORT: u16 = 9464;
 
+/// Control replicas of a deployment that tolerates the loss of one machine.
 pub const CONTROLS: u8 = 3;
 
+/// Number of control replicas that the settings name as seeds.
+const SEEDS: u8 = 3;
+
 /// Processes that were started, for the watchdog.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -38,6 +42,14 @@
 pub struct Terms {
     pub memory_mb: u32,
     pub grace: &'static str,
+    /// Machines of the core that may be lost at the same time.
+    pub tolerated: u8,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self { memory_mb: 160, grace: "6s", tolerated: 1 }
+    }
 }
 
 pub struct Deployment {
@@ -118,7 +130,7 @@
     }
 
     fn settings(&self, name: &str, class: &str, serves: &str, ip: Ipv4Addr, bootstrap: bool) -> String {
-        let seeds: Vec<_> = (0..CONTROLS).map(|n| self.control_address(n).to_string()).collect();
+        let seeds: Vec<_> = (0..SEEDS).map(|n| self.control_address(n).to_string()).collect();
         format!(
             "self_info.node_name={name}\nself_info.role={class}\nself_info.machine_class={class}\n\
              self_info.serves={serves}\nself_info.ip={ip}\nself_info.zone=lhr-gulberg\n\
@@ -130,7 +142,7 @@
              network.zones.isb-blue=islamabad\nplatform.discovery=registration\n\
              platform.entry=directory\nplatform.heartbeat=1500ms\n\
              terms.contracts=base,drain,config,cost,retry,recover,health,pool,places\n\
-             terms.fault_tolerance.machines=1\nterms.fault_tolerance.zones=1\n\
+             terms.fault_tolerance.machines={}\nterms.fault_tolerance.zones=1\n\
              terms.fault_tolerance.regions=1\nterms.bounds.seed_lag=3s\nterms.bounds.reuse_after=2s\n\
              terms.bounds.contact=4000ms\nterms.bounds.ack=4000ms\nterms.bounds.catch_up=6s\n\
              terms.bounds.drain=2500ms\nterms.bounds.grace={}\nterms.bounds.loss_slack=200ms\n\
@@ -145,6 +157,7 @@
             self.mesh_port,
             self.mesh_port,
             seeds.join(","),
+            self.terms.tolerated,
             self.terms.grace,
         )
     }
@@ -226,6 +239,18 @@
         self.entries[usize::from(number)].as_ref().map(Child::id)
     }
 
+    pub fn signal_control(&self, number: u8, name: &str) {
+        if let Some(child) = &self.controls[usize::from(number)] {
+            signal(child.id(), name);
+        }
+    }
+
+    /// Returns the log of a control replica.
+    pub fn control_log(&self, number: u8) -> String {
+        let bytes = fs::read(self.folder.join(format!("core-{number}.log"))).unwrap_or_default();
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
     /// Sends a call to the control replicas in turn until one gives a clear answer.
     pub fn submit(&self, call: &str, subject: &str, body: &str) -> Option<u16> {
         let until = Instant::now() + Duration::from_secs(15);
