--- a/review/standin/src/cases/growing_core.rs
+++ b/review/standin/src/cases/growing_core.rs
@@ -40,7 +40,9 @@
     if deployment.submit("config.replace", "", &document(1, 0, FIRST_ROUTES)) != Some(200) {
         return Outcome::NotRun("no configuration".to_string());
     }
-    let controls: Vec<_> = (0..CONTROLS).map(|number| deployment.control_address(number)).collect();
+    let controls: Vec<_> = (0..CONTROLS)
+        .map(|number| deployment.control_address(number))
+        .collect();
     let platform = Platform::start(record, deployment);
     let version = send_changes(record, trouble, &controls, &platform);
     let read = read_back(record, &controls, version);
@@ -58,7 +60,9 @@
         "machines of the core whose processes ended by themselves {MAX_ENDS} times or more: {counted} of {CONTROLS}"
     ));
     deployment.stop(record);
-    record.line(&format!("the configuration that was acknowledged last could be read back: {read}"));
+    record.line(&format!(
+        "the configuration that was acknowledged last could be read back: {read}"
+    ));
     match counted * 2 >= usize::from(CONTROLS) {
         true => Outcome::Broken,
         false => Outcome::Held,
@@ -66,7 +70,12 @@
 }
 
 /// Sends changes, each on top of the one before, and returns the version that was acknowledged last.
-fn send_changes(record: &Record, trouble: bool, controls: &[SocketAddr], platform: &Platform) -> u64 {
+fn send_changes(
+    record: &Record,
+    trouble: bool,
+    controls: &[SocketAddr],
+    platform: &Platform,
+) -> u64 {
     let started_at = Instant::now();
     let (mut version, mut routes, mut acknowledged, mut unclear) = (1, FIRST_ROUTES, 0, 0);
     let mut control = 0;
@@ -79,20 +88,31 @@
         }
         let change = document(version + 1, version, routes);
         let path = "/wisteriaspread/rpc?call=config.replace";
-        let answer = http::call(controls[control], "POST", path, &change, Duration::from_secs(2));
+        let answer = http::call(
+            controls[control],
+            "POST",
+            path,
+            &change,
+            Duration::from_secs(2),
+        );
         match answer.map(|(status, _)| status) {
             Some(200) => {
                 version += 1;
                 acknowledged += 1;
                 if acknowledged % 25 == 0 {
                     let used = platform.used_mb();
-                    record.line(&format!("{acknowledged} changes acknowledged, {routes} routes; MB in use: {used:?}"));
+                    record.line(&format!(
+                        "{acknowledged} changes acknowledged, {routes} routes; MB in use: {used:?}"
+                    ));
                 }
             }
             status => {
                 unclear += 1;
                 control = (control + 1) % controls.len();
-                record.line(&format!("version {}: {status:?}, sent again to core-{control}", version + 1));
+                record.line(&format!(
+                    "version {}: {status:?}, sent again to core-{control}",
+                    version + 1
+                ));
             }
         }
         if Instant::now() > next_change + MAX_DELAY {
@@ -118,9 +138,15 @@
         let answer = http::call(*control, "POST", path, "", Duration::from_secs(2));
         reads += 1;
         if let Some((200, document)) = answer {
-            let read = document.strip_prefix(r#"{"version":"#).and_then(|rest| rest.split(',').next());
-            let read = read.and_then(|number| number.parse::<u64>().ok()).unwrap_or(0);
-            record.line(&format!("core-{number} returns version {read}; {version} was acknowledged last"));
+            let read = document
+                .strip_prefix(r#"{"version":"#)
+                .and_then(|rest| rest.split(',').next());
+            let read = read
+                .and_then(|number| number.parse::<u64>().ok())
+                .unwrap_or(0);
+            record.line(&format!(
+                "core-{number} returns version {read}; {version} was acknowledged last"
+            ));
             return read >= version;
         }
         thread::sleep(Duration::from_millis(100));
@@ -158,18 +184,30 @@
             while !stopped.load(Ordering::SeqCst) {
                 for number in 0..CONTROLS {
                     let mut machines = watched.lock().expect("the machines");
-                    watch(&record, &mut deployment, number, &mut machines[usize::from(number)]);
+                    watch(
+                        &record,
+                        &mut deployment,
+                        number,
+                        &mut machines[usize::from(number)],
+                    );
                 }
                 thread::sleep(Duration::from_millis(2));
             }
             deployment
         });
-        Self { is_stopped, machines, thread }
+        Self {
+            is_stopped,
+            machines,
+            thread,
+        }
     }
 
     fn used_mb(&self) -> Vec<u64> {
         let machines = self.machines.lock().expect("the machines");
-        machines.iter().map(|machine| machine.used_kib / 1024).collect()
+        machines
+            .iter()
+            .map(|machine| machine.used_kib / 1024)
+            .collect()
     }
 
     fn stop(self) -> (Deployment, Vec<Machine>) {
@@ -189,7 +227,9 @@
         }
         return;
     }
-    let Some(child) = &mut deployment.controls[usize::from(number)] else { return };
+    let Some(child) = &mut deployment.controls[usize::from(number)] else {
+        return;
+    };
     // Memory of its own: pages of the program file don't count here.
     machine.used_kib = deployment::anonymous_kib(child.id()).unwrap_or(0);
     machine.peak_kib = machine.peak_kib.max(machine.used_kib);
--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,5 +1,4 @@
-pub mod ready_answers;
-pub mod uploads;
-pub mod serve;
 pub mod growing_core;
+pub mod ready_answers;
 pub mod replaced_voter;
+pub mod uploads;
--- a/review/standin/src/cases/ready_answers.rs
+++ b/review/standin/src/cases/ready_answers.rs
@@ -92,13 +92,21 @@
             thread::spawn(move || use_connection(&record, number, connection))
         })
         .collect();
-    let seen: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    let seen: Vec<_> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok())
+        .collect();
     if seen.len() != CONNECTIONS {
         return Outcome::NotRun("a client failed".to_string());
     }
-    let exited = deployment.entries[0].as_mut().and_then(|child| child.try_wait().ok().flatten());
+    let exited = deployment.entries[0]
+        .as_mut()
+        .and_then(|child| child.try_wait().ok().flatten());
     record.line(&format!("front-0 has ended: {exited:?}"));
-    let runs: Vec<_> = endpoints.iter().flat_map(|endpoint| endpoint.runs()).collect();
+    let runs: Vec<_> = endpoints
+        .iter()
+        .flat_map(|endpoint| endpoint.runs())
+        .collect();
     let mut lost = 0;
     for (number, seen) in seen.iter().enumerate() {
         let Some(cut_at) = seen.cut_at else { continue };
@@ -117,10 +125,15 @@
             // less than 3 s after SIGTERM, and neither the deadline nor the timeout was reached.
             let last_sixth = stopped_at + GRACE.mul_f64(5.0 / 6.0);
             if run.ended.is_none_or(|ended| ended > last_sixth) {
-                record.line(&format!("{id}: {} was still at work, excused", run.endpoint));
+                record.line(&format!(
+                    "{id}: {} was still at work, excused",
+                    run.endpoint
+                ));
                 continue;
             }
-            let ended = run.ended.map_or(0.0, |ended| ended.duration_since(stopped_at).as_secs_f64());
+            let ended = run
+                .ended
+                .map_or(0.0, |ended| ended.duration_since(stopped_at).as_secs_f64());
             let ran = run.began.duration_since(stopped_at).as_secs_f64();
             record.line(&format!(
                 "{id}: LOST. {} ran it from {ran:.3} s to {ended:.3} s after SIGTERM and answered; the \
@@ -131,7 +144,9 @@
             lost += 1;
         }
     }
-    record.line(&format!("requests with neither an answer nor an excuse: {lost}"));
+    record.line(&format!(
+        "requests with neither an answer nor an excuse: {lost}"
+    ));
     match lost {
         0 => Outcome::Held,
         _ => Outcome::Broken,
@@ -140,12 +155,17 @@
 
 fn ids(number: usize) -> Vec<String> {
     let quick = (0..QUICK_REQUESTS).map(|quick| format!("quick-{number}-{quick}"));
-    std::iter::once(format!("slow-{number}")).chain(quick).collect()
+    std::iter::once(format!("slow-{number}"))
+        .chain(quick)
+        .collect()
 }
 
 /// Sends the requests one behind the other and reads the answers.
 fn use_connection(record: &Record, number: usize, mut connection: Connection) -> Seen {
-    let mut seen = Seen { answered: Vec::new(), cut_at: None };
+    let mut seen = Seen {
+        answered: Vec::new(),
+        cut_at: None,
+    };
     let ids = ids(number);
     for (position, id) in ids.iter().enumerate() {
         let work = if position == 0 { SLOW_MS } else { QUICK_MS };
@@ -160,7 +180,10 @@
         match connection.read(Duration::from_secs(16)) {
             Ok(Some(answer)) => {
                 let (id, status) = (answer.id().to_string(), answer.head.status());
-                record.line(&format!("client {number} gets {status} for {id}, seal {}", answer.has_seal()));
+                record.line(&format!(
+                    "client {number} gets {status} for {id}, seal {}",
+                    answer.has_seal()
+                ));
                 seen.answered.push(id);
             }
             Ok(None) | Err(_) => {
--- a/review/standin/src/cases/replaced_voter.rs
+++ b/review/standin/src/cases/replaced_voter.rs
@@ -22,7 +22,10 @@
 const HALF_TIME: Duration = Duration::from_secs(6);
 
 pub fn run(record: &Record, trouble: bool) -> Outcome {
-    let terms = Terms { tolerated: 2, ..Terms::default() };
+    let terms = Terms {
+        tolerated: 2,
+        ..Terms::default()
+    };
     let mut deployment = Deployment::new(terms, "replaced-voter");
     let outcome = play(record, trouble, &mut deployment);
     deployment.stop(record);
@@ -49,8 +52,14 @@
     }
     thread::sleep(Duration::from_secs(7));
     let voters = deployment.control_log(ADDED);
-    let voters = voters.lines().rev().find(|line| line.contains("voters changed"));
-    record.line(&format!("voters by the log of core-{ADDED}: {}", voters.unwrap_or("not named")));
+    let voters = voters
+        .lines()
+        .rev()
+        .find(|line| line.contains("voters changed"));
+    record.line(&format!(
+        "voters by the log of core-{ADDED}: {}",
+        voters.unwrap_or("not named")
+    ));
 
     // The halves can't reach each other: the operator reaches the first one, while the second stands still.
     if trouble {
@@ -115,7 +124,12 @@
             return None;
         }
         if let Some((200, document)) = deployment.call(number, "config.get", "", "") {
-            let version = document.strip_prefix(r#"{"version":"#)?.split(',').next()?.parse().ok();
+            let version = document
+                .strip_prefix(r#"{"version":"#)?
+                .split(',')
+                .next()?
+                .parse()
+                .ok();
             record.line(&format!("core-{number} returns version {version:?}"));
             return version;
         }
--- a/review/standin/src/cases/uploads.rs
+++ b/review/standin/src/cases/uploads.rs
@@ -45,7 +45,10 @@
 }
 
 pub fn run(record: &Record, trouble: bool) -> Outcome {
-    let terms = Terms { memory_mb: MEMORY_MB, ..Terms::default() };
+    let terms = Terms {
+        memory_mb: MEMORY_MB,
+        ..Terms::default()
+    };
     let mut deployment = Deployment::new(terms, "uploads");
     let outcome = play(record, trouble, &mut deployment);
     deployment.stop(record);
@@ -54,7 +57,13 @@
 
 fn play(record: &Record, trouble: bool, deployment: &mut Deployment) -> Outcome {
     deployment.start_all(2);
-    let route = |prefix, kind, service, timeout_ms, target_ms| Route { prefix, kind, service, timeout_ms, target_ms };
+    let route = |prefix, kind, service, timeout_ms, target_ms| Route {
+        prefix,
+        kind,
+        service,
+        timeout_ms,
+        target_ms,
+    };
     let routes = [
         route("/page/", "safe", "archivo", 3_000, 400),
         route("/entry/", "unsafe", "registro", 1_500, 1_000),
@@ -81,7 +90,12 @@
     let killed_at = Arc::new(Mutex::new(None::<Instant>));
     let peak = Arc::new(AtomicU64::new(0));
     let platform = {
-        let (stop, killed_at, peak, record) = (stop.clone(), killed_at.clone(), peak.clone(), record.clone());
+        let (stop, killed_at, peak, record) = (
+            stop.clone(),
+            killed_at.clone(),
+            peak.clone(),
+            record.clone(),
+        );
         thread::spawn(move || {
             while !stop.load(Ordering::SeqCst) {
                 // Memory of its own: pages of the program file don't count here.
@@ -107,7 +121,9 @@
         .map(|number| {
             let (stop, seen) = (stop.clone(), seen.clone());
             thread::spawn(move || {
-                let Ok(mut connection) = Connection::open(address) else { return };
+                let Ok(mut connection) = Connection::open(address) else {
+                    return;
+                };
                 for count in 0.. {
                     if stop.load(Ordering::SeqCst) {
                         return;
@@ -140,11 +156,16 @@
             break;
         }
         let bytes = if trouble { bytes } else { SMALL_UPLOAD };
-        record.line(&format!("round {round}: {count} clients upload {bytes} bytes each"));
+        record.line(&format!(
+            "round {round}: {count} clients upload {bytes} bytes each"
+        ));
         let uploads: Vec<_> = (0..count)
             .map(|number| thread::spawn(move || upload(address, round, number, bytes)))
             .collect();
-        let statuses: Vec<_> = uploads.into_iter().filter_map(|upload| upload.join().ok()).collect();
+        let statuses: Vec<_> = uploads
+            .into_iter()
+            .filter_map(|upload| upload.join().ok())
+            .collect();
         let with = |wanted: u16| statuses.iter().filter(|status| **status == wanted).count();
         record.line(&format!(
             "round {round}: {} answered 200, {} refused 503, {} without an answer; {:.1} MB in use at most so far",
@@ -170,12 +191,18 @@
         deployment.start_entry(0);
         record.line("front-0 is started again");
     }
-    let runs: HashSet<_> = registro.iter().flat_map(|endpoint| endpoint.runs()).map(|run| run.id).collect();
+    let runs: HashSet<_> = registro
+        .iter()
+        .flat_map(|endpoint| endpoint.runs())
+        .map(|run| run.id)
+        .collect();
     let seen = seen.lock().expect("what was seen");
     let mut lost = 0;
     for id in &seen.cut {
         if runs.contains(id) {
-            record.line(&format!("{id}: LOST. It was passed on, and its connection closed without an answer"));
+            record.line(&format!(
+                "{id}: LOST. It was passed on, and its connection closed without an answer"
+            ));
             lost += 1;
         } else {
             record.line(&format!("{id}: not passed on, doesn't count"));
@@ -195,7 +222,9 @@
 /// Uploads a page in pieces and returns the status; 0 without an answer.
 fn upload(address: std::net::SocketAddr, round: usize, number: usize, bytes: usize) -> u16 {
     const PIECE: usize = 16 << 10;
-    let Ok(mut connection) = Connection::open(address) else { return 0 };
+    let Ok(mut connection) = Connection::open(address) else {
+        return 0;
+    };
     let id = format!("page-{round}-{number}");
     let head = format!(
         "POST /page/200/400 HTTP/1.1\r\nHost: jepu9.example\r\nWisteriaspread-Request-Id: {id}\r\n\
@@ -212,5 +241,8 @@
     }
     // A refusal may come before the body is sent; it can still be read then.
     let answer = connection.read(Duration::from_secs(4));
-    answer.ok().flatten().map_or(0, |answer| answer.head.status())
+    answer
+        .ok()
+        .flatten()
+        .map_or(0, |answer| answer.head.status())
 }
--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -21,7 +21,9 @@
 
 impl Answer {
     pub fn id(&self) -> &str {
-        self.head.header("wisteriaspread-request-id").unwrap_or_default()
+        self.head
+            .header("wisteriaspread-request-id")
+            .unwrap_or_default()
     }
 
     pub fn has_seal(&self) -> bool {
@@ -29,7 +31,9 @@
     }
 
     pub fn closes(&self) -> bool {
-        self.head.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+        self.head
+            .header("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
     }
 }
 
@@ -42,7 +46,14 @@
     }
 
     /// Sends a request; `deadline_ms` is the time that the client will wait.
-    pub fn send(&mut self, method: &str, path: &str, id: &str, deadline_ms: u32, body: &str) -> io::Result<()> {
+    pub fn send(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        deadline_ms: u32,
+        body: &str,
+    ) -> io::Result<()> {
         let length = match method {
             "GET" => String::new(),
             _ => format!("Content-Length: {}\r\n", body.len()),
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -48,7 +48,11 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Self { memory_mb: 160, grace: "6s", tolerated: 1 }
+        Self {
+            memory_mb: 160,
+            grace: "6s",
+            tolerated: 1,
+        }
     }
 }
 
@@ -129,8 +133,17 @@
         self.ip(201)
     }
 
-    fn settings(&self, name: &str, class: &str, serves: &str, ip: Ipv4Addr, bootstrap: bool) -> String {
-        let seeds: Vec<_> = (0..SEEDS).map(|n| self.control_address(n).to_string()).collect();
+    fn settings(
+        &self,
+        name: &str,
+        class: &str,
+        serves: &str,
+        ip: Ipv4Addr,
+        bootstrap: bool,
+    ) -> String {
+        let seeds: Vec<_> = (0..SEEDS)
+            .map(|n| self.control_address(n).to_string())
+            .collect();
         format!(
             "self_info.node_name={name}\nself_info.role={class}\nself_info.machine_class={class}\n\
              self_info.serves={serves}\nself_info.ip={ip}\nself_info.zone=lhr-gulberg\n\
@@ -184,7 +197,9 @@
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a log file"))
             .stderr(log);
-        let child = command.spawn().expect("the program of the deploy file; build it first");
+        let child = command
+            .spawn()
+            .expect("the program of the deploy file; build it first");
         STARTED.lock().expect("the processes").push(child.id());
         child
     }
@@ -256,7 +271,9 @@
         let until = Instant::now() + Duration::from_secs(15);
         let mut number = 0;
         while Instant::now() < until {
-            let status = self.call(number, call, subject, body).map(|(status, _)| status);
+            let status = self
+                .call(number, call, subject, body)
+                .map(|(status, _)| status);
             if let Some(status) = status.filter(|status| *status < 500) {
                 return Some(status);
             }
@@ -268,12 +285,24 @@
 
     pub fn call(&self, number: u8, call: &str, subject: &str, body: &str) -> Option<(u16, String)> {
         let path = format!("/wisteriaspread/rpc?call={call}&of={subject}");
-        http::call(self.control_address(number), "POST", &path, body, Duration::from_secs(2))
+        http::call(
+            self.control_address(number),
+            "POST",
+            &path,
+            body,
+            Duration::from_secs(2),
+        )
     }
 
     pub fn is_ready(&self, number: u8) -> bool {
         let path = "/wisteriaspread/readiness";
-        let answer = http::call(self.ready_address(number), "GET", path, "", Duration::from_secs(1));
+        let answer = http::call(
+            self.ready_address(number),
+            "GET",
+            path,
+            "",
+            Duration::from_secs(1),
+        );
         answer.is_some_and(|(status, _)| status == 200)
     }
 
@@ -317,14 +346,22 @@
 
 /// Sends a signal to a process that this test started.
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+    let _ = Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(pid.to_string())
+        .status();
 }
 
 /// Memory of a process in KiB, without the pages of its program file.
 pub fn anonymous_kib(pid: u32) -> Option<u64> {
     let mut text = String::new();
-    File::open(format!("/proc/{pid}/status")).ok()?.read_to_string(&mut text).ok()?;
-    let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+    File::open(format!("/proc/{pid}/status"))
+        .ok()?
+        .read_to_string(&mut text)
+        .ok()?;
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix("RssAnon:"))?;
     line.trim().trim_end_matches("kB").trim().parse().ok()
 }
 
@@ -363,4 +400,3 @@
         routes.join(",")
     )
 }
-
--- a/review/standin/src/endpoint.rs
+++ b/review/standin/src/endpoint.rs
@@ -35,7 +35,10 @@
     /// `/page/300/1000`.
     pub fn start(id: &str, service: &str, ip: Ipv4Addr, record: &Record) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("a port for an endpoint");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("a time")
+            .as_millis();
         let endpoint = Self {
             id: id.to_string(),
             service: service.to_string(),
@@ -64,7 +67,10 @@
                     r#"{{"address":"{}","born":{},"info":{{"service":"{}","version":"v1","zone":"lhr-gulberg","slots":64}},"status":{{"state":"ready","seq_no":{sequence},"cold_left":"0ms"}}}}"#,
                     endpoint.address, endpoint.born, endpoint.service
                 );
-                let path = format!("/wisteriaspread/rpc?call=instances.heartbeat&of={}", endpoint.id);
+                let path = format!(
+                    "/wisteriaspread/rpc?call=instances.heartbeat&of={}",
+                    endpoint.id
+                );
                 for _ in 0..controls.len() {
                     let control = controls[turn % controls.len()];
                     let answer = http::call(control, "POST", &path, &body, Duration::from_secs(1));
@@ -111,7 +117,10 @@
             );
             return stream.write_all(answer.as_bytes()).is_ok();
         }
-        let mut parts = head.path().rsplit('/').map(|part| part.parse::<u64>().unwrap_or(0));
+        let mut parts = head
+            .path()
+            .rsplit('/')
+            .map(|part| part.parse::<u64>().unwrap_or(0));
         let (bytes, work) = (parts.next().unwrap_or(0), parts.next().unwrap_or(0));
         let index = {
             let mut runs = self.runs.lock().expect("the runs");
@@ -123,14 +132,19 @@
             });
             runs.len() - 1
         };
-        self.record.line(&format!("{} runs {id} for {work} ms", self.id));
+        self.record
+            .line(&format!("{} runs {id} for {work} ms", self.id));
         if !self.work(stream, Duration::from_millis(work)) {
-            self.record.line(&format!("{} stops {id}, as its connection was closed", self.id));
+            self.record.line(&format!(
+                "{} stops {id}, as its connection was closed",
+                self.id
+            ));
             return false;
         }
         self.runs.lock().expect("the runs")[index].ended = Some(Instant::now());
         if work > 0 {
-            self.record.line(&format!("{} has run {id}, answers 200", self.id));
+            self.record
+                .line(&format!("{} has run {id}, answers 200", self.id));
         }
         let mut answer = format!(
             "HTTP/1.1 200 OK\r\nWisteriaspread-Request-Id: {id}\r\n\
@@ -157,8 +171,15 @@
 }
 
 /// Starts endpoints of a service and announces them.
-pub fn start_endpoints(deployment: &Deployment, service: &str, count: u32, record: &Record) -> Vec<Endpoint> {
-    let controls: Vec<_> = (0..crate::deployment::CONTROLS).map(|n| deployment.control_address(n)).collect();
+pub fn start_endpoints(
+    deployment: &Deployment,
+    service: &str,
+    count: u32,
+    record: &Record,
+) -> Vec<Endpoint> {
+    let controls: Vec<_> = (0..crate::deployment::CONTROLS)
+        .map(|n| deployment.control_address(n))
+        .collect();
     (0..count)
         .map(|number| {
             let id = format!("i-{service}-{number}");
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -55,7 +55,8 @@
         if head.start.is_empty() {
             head.start = line.to_string();
         } else if let Some((name, value)) = line.split_once(':') {
-            head.headers.push((name.to_ascii_lowercase(), value.trim().to_string()));
+            head.headers
+                .push((name.to_ascii_lowercase(), value.trim().to_string()));
         }
     }
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -37,7 +37,6 @@
         "ready-answers" => cases::ready_answers::run(&record, trouble),
         "growing-core" => cases::growing_core::run(&record, trouble),
         "replaced-voter" => cases::replaced_voter::run(&record, trouble),
-        "serve" => cases::serve::run(&record),
         "uploads" => cases::uploads::run(&record, trouble),
         _ => Outcome::NotRun("unknown case".to_string()),
     };
