fix(quorum): a replica's own log says whether it votes

Cause: whether a replica votes was a flag beside its log. `Admitted`, sent by any replica whose log has the bootstrap entry, set the flag of a voter that a later entry had replaced. That replica counted itself and led a half with two of five voters. Related: a voter whose removal and new admission come in one message counted toward the commit of its own admission; votes and acknowledgements counted on the sender's word alone; a replaced voter that missed a second replacement reached no leader and never got the log again.

Ruled out: votes given twice in a term, leases that outlive a leader.

Change: a replica is a voter if the end of its own log contains its incarnation and that admission is known to be committed. `Admitted` became `Settled` (how far the log is committed); the bootstrap entry itself is handed over. The hard state keeps the index up to which membership is settled, in the place of the flag. Voters are named to non-voters that ask for votes.

--- a/crates/control/tests/heartbeats_carry_applied_state.rs
+++ b/crates/control/tests/heartbeats_carry_applied_state.rs
@@ -27,7 +27,7 @@
         incarnation: INCARNATION,
         hard: HardState {
             term: 1,
-            member: true,
+            settled_membership: 1,
             ..HardState::default()
         },
         entries: entries.to_vec(),
--- a/crates/quorum/src/bootstrap.rs
+++ b/crates/quorum/src/bootstrap.rs
@@ -2,8 +2,8 @@
 //!
 //! The replica with the lowest id is the founder. Each blank replica binds itself to the founder's
 //! incarnation and reports that in its greetings. Once all are bound, the founder writes their
-//! incarnations as the first log entry, notifies the others that they are admitted, and can be
-//! elected.
+//! incarnations as the first log entry and sends it to the others, whose logs start with it as well.
+//! Each replica takes from its own log whether it is a voter.
 //!
 //! A replica binds itself only on a greeting that echoes its latest nonce, and draws a new nonce
 //! when it does. A delayed greeting therefore can't bind it to a former incarnation of the founder
@@ -68,16 +68,16 @@
     /// Term of the bootstrap entry.
     const FIRST_TERM: ids::Term = 1;
     /// Index of the bootstrap entry.
-    const FIRST_INDEX: ids::LogIndex = 1;
+    pub(crate) const FIRST_INDEX: ids::LogIndex = 1;
 
     fn is_founder(&self, replica: ids::ReplicaId) -> bool {
         self.config.replicas.iter().min() == Some(&replica)
     }
 
-    /// Returns whether this replica sends greetings: it is blank, or it isn't admitted and knows no
+    /// Returns whether this replica sends greetings: it is blank, or it isn't a voter and knows no
     /// leader.
     pub(crate) fn sends_greetings(&self) -> bool {
-        self.is_blank() || (!self.is_member() && self.leader.is_none())
+        self.is_blank() || (!self.is_voter() && self.leader.is_none())
     }
 
     /// Sends greetings to the other replicas when they are due.
@@ -113,7 +113,8 @@
         };
         self.bootstrap.peer_nonces.insert(from, nonce);
         if !self.is_blank() {
-            self.send_admitted(from, message.incarnation);
+            self.send_bootstrap(from, message.incarnation);
+            self.send_settled(from);
             self.send_members(from);
             if self.is_founder(self.config.id) {
                 self.send_greeting(from);
@@ -156,46 +157,84 @@
         let mut members = self.bootstrap.bound_replicas.clone();
         members.insert(self.config.id, self.incarnation);
         let members = members.into_iter().collect();
-        self.append(LogEntry {
+        self.start_log(LogEntry {
             term: Self::FIRST_TERM,
             index: Self::FIRST_INDEX,
             payload: EntryPayload::Found { members },
         });
+        for (peer, incarnation) in self.bootstrap.bound_replicas.clone() {
+            self.send_bootstrap(peer, incarnation);
+        }
+    }
+
+    /// Starts the log of this blank replica with the bootstrap entry.
+    fn start_log(&mut self, entry: LogEntry) {
+        self.append(entry);
+        self.settle_membership(Self::FIRST_INDEX);
         let term = self.bootstrap.highest_term.max(Self::FIRST_TERM);
         self.become_follower(term, None);
-        self.become_member();
         self.reset_election_timer();
-        for (peer, incarnation) in self.bootstrap.bound_replicas.clone() {
-            self.send_admitted(peer, incarnation);
+    }
+
+    /// Sends the bootstrap entry to a replica if it names the replica's incarnation and the log
+    /// still holds it.
+    fn send_bootstrap(&mut self, to: ids::ReplicaId, incarnation: ids::Incarnation) {
+        let Some(entry) = self.log.get(Self::FIRST_INDEX) else {
+            return;
+        };
+        if entry.payload.admissions().contains(&(to, incarnation)) {
+            let entry = entry.clone();
+            self.send(
+                SyncRequirement::AllWrites,
+                to,
+                MessageBody::Bootstrap { entry },
+            );
         }
     }
 
-    /// Notifies a replica that its incarnation is admitted, if a committed entry or the bootstrap
-    /// entry admits it.
-    fn send_admitted(&mut self, to: ids::ReplicaId, incarnation: ids::Incarnation) {
-        let committed = self.members_at(self.commit).get(&to) == Some(&incarnation);
-        if committed || self.is_first_member(to, incarnation) {
-            let body = MessageBody::Admitted { incarnation };
-            self.send(SyncRequirement::AllWrites, to, body);
+    /// Starts the log of this replica with a bootstrap entry that names its incarnation. A replica
+    /// that has a log takes later entries only from a leader.
+    pub(crate) fn on_bootstrap(&mut self, from: ids::ReplicaId, message: Message) {
+        let founder = message.incarnation;
+        let MessageBody::Bootstrap { entry } = message.body else {
+            return;
+        };
+        let own = (self.config.id, self.incarnation);
+        let is_first = entry.index == Self::FIRST_INDEX && entry.term == Self::FIRST_TERM;
+        let is_named = entry.payload.admissions().contains(&own);
+        if self.is_blank() && is_first && is_named && !self.is_unbound_founder(from, founder) {
+            self.bootstrap.highest_term = self.bootstrap.highest_term.max(message.term);
+            self.start_log(entry);
         }
     }
 
-    /// Returns whether the bootstrap entry admits an incarnation; false if the log no longer holds
-    /// that entry.
-    fn is_first_member(&self, replica: ids::ReplicaId, incarnation: ids::Incarnation) -> bool {
-        let first = self.log.get(Self::FIRST_INDEX);
-        first.is_some_and(|entry| {
-            let admissions = entry.payload.admissions();
-            admissions.contains(&(replica, incarnation))
-        })
+    /// Notifies a replica of the settled membership entries. The bootstrap entry is left out: every
+    /// log that holds it counts it as settled, also before a quorum has it.
+    pub(crate) fn send_settled(&mut self, to: ids::ReplicaId) {
+        for index in [self.hard.settled_membership, self.commit] {
+            let term = self.log.term_at(index);
+            if let Some(term) = term.filter(|_| index > Self::FIRST_INDEX) {
+                let body = MessageBody::Settled { index, term };
+                return self.send(SyncRequirement::Nothing, to, body);
+            }
+        }
+    }
+
+    /// Commits the entries up to one that another replica knows to be committed, if this replica's
+    /// log holds that entry.
+    pub(crate) fn on_settled(&mut self, index: ids::LogIndex, term: ids::Term) {
+        if index > self.commit && self.log.term_at(index) == Some(term) {
+            self.commit_to(index);
+            self.check_votes();
+        }
     }
 
     /// Sends the list of voters to a replica that isn't a voter. A leader sends it entries instead.
-    fn send_members(&mut self, to: ids::ReplicaId) {
-        if self.leadership.is_some() || self.members.contains_key(&to) {
+    pub(crate) fn send_members(&mut self, to: ids::ReplicaId) {
+        if self.leadership.is_some() || self.voters.contains(to) {
             return;
         }
-        let members = self.members.keys().copied().collect();
+        let members = self.voters.ids().collect();
         self.send(
             SyncRequirement::Nothing,
             to,
@@ -207,12 +246,6 @@
         self.bootstrap.discovered_voters = members.to_vec();
     }
 
-    pub(crate) fn on_admitted(&mut self, incarnation: ids::Incarnation) {
-        if incarnation == self.incarnation {
-            self.become_member();
-        }
-    }
-
     /// Returns whether a leader's message comes from a founder incarnation that this blank replica
     /// isn't bound to.
     pub(crate) fn is_unbound_founder(
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -1,5 +1,7 @@
 //! Leader election: pre-vote, votes, and the start and end of a leadership.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use crate::entry::{EntryPayload, HardState, LogEntry};
 use crate::event::{AnswerOutcome, Role};
 use crate::fault::InjectedFault;
@@ -17,12 +19,11 @@
         }
         self.reset_election_timer();
         self.leader = None;
-        if !self.is_member() || self.is_blank() || self.stopping {
+        if !self.is_voter() || self.is_blank() || self.stopping {
             return;
         }
         self.role = Role::PreCandidate;
-        self.votes.clear();
-        self.votes.insert(self.config.id);
+        self.votes = self.own_vote();
         self.request_votes(true, false);
         self.check_votes();
     }
@@ -34,11 +35,14 @@
         self.hard.term += 1;
         self.record_vote(self.config.id);
         self.reset_election_timer();
-        self.votes.clear();
-        self.votes.insert(self.config.id);
+        self.votes = self.own_vote();
         self.request_votes(false, handed_over);
     }
 
+    fn own_vote(&self) -> BTreeMap<ids::ReplicaId, ids::Incarnation> {
+        BTreeMap::from([(self.config.id, self.incarnation)])
+    }
+
     fn request_votes(&mut self, pre: bool, handed_over: bool) {
         let term = self.hard.term + u64::from(pre);
         let body = MessageBody::VoteRequest {
@@ -47,15 +51,26 @@
             last_term: self.log.last_term(),
             handed_over,
         };
-        for peer in self.peers() {
+        for peer in self.vote_targets() {
             self.send_in(term, SyncRequirement::HardState, peer, body.clone());
         }
     }
 
+    /// Returns the replicas that get vote requests: the peers, and the voters that others reported. A
+    /// leader that this replica's log doesn't know thereby learns of this replica.
+    fn vote_targets(&self) -> BTreeSet<ids::ReplicaId> {
+        let mut targets: BTreeSet<_> = self.peers().into_iter().collect();
+        targets.extend(self.bootstrap.discovered_voters());
+        targets.remove(&self.config.id);
+        targets
+    }
+
     /// Moves from pre-vote to election, or from election to leadership, once a quorum granted its
     /// votes. A candidate's own vote must be synced first.
     pub(crate) fn check_votes(&mut self) {
-        if self.votes.len() < self.quorum() {
+        let votes = self.votes.iter();
+        let counted = votes.filter(|(id, incarnation)| self.counts_vote(**id, **incarnation));
+        if counted.count() < self.quorum() {
             return;
         }
         match self.role {
@@ -75,9 +90,13 @@
         else {
             return;
         };
-        if !self.is_member() || !message.member {
+        if !self.is_voter() || !message.member {
             return;
         }
+        if self.hard.settled_membership > Self::FIRST_INDEX {
+            self.send_settled(from);
+        }
+        self.send_members(from);
         let up_to_date = (last_term, last_index) >= (self.log.last_term(), self.log.last_index());
         self.release_former_lease(from, message.term, up_to_date);
         let lease_protected = self.has_recent_leader_contact() && !handed_over;
@@ -172,21 +191,22 @@
             Role::Candidate
         };
         let requested_term = self.hard.term + u64::from(pre);
-        if self.role != role
-            || message.term != requested_term
-            || !self.is_admitted_sender(from, message)
-        {
+        if self.role != role || message.term != requested_term || !message.member {
             return;
         }
-        self.votes.insert(from);
+        self.votes.insert(from, message.incarnation);
         self.check_votes();
     }
 
-    /// Returns whether the sender is an admitted voter, so that its votes count.
-    fn is_admitted_sender(&self, from: ids::ReplicaId, message: &Message) -> bool {
-        let admitted = self.members.get(&from) == Some(&message.incarnation);
-        let blank_counts = self.fault == Some(InjectedFault::BlankVotes);
-        message.member && (admitted || blank_counts)
+    /// Returns whether the vote of an incarnation counts: the voters by this replica's own log
+    /// contain it, and its admission is settled.
+    fn counts_vote(&self, replica: ids::ReplicaId, incarnation: ids::Incarnation) -> bool {
+        if replica == self.config.id {
+            return self.is_voter();
+        }
+        let admission = self.voters.admission(replica, incarnation);
+        admission.is_some_and(|admission| self.is_settled(admission))
+            || self.fault == Some(InjectedFault::BlankVotes)
     }
 
     /// Becomes the leader of the current term.
@@ -204,22 +224,22 @@
         self.start_round();
     }
 
-    /// Becomes a follower, or a learner if not admitted, in `term` and under `leader` if it is
+    /// Becomes a follower, or a learner if not a voter, in `term` and under `leader` if it is
     /// known.
     pub(crate) fn become_follower(&mut self, term: ids::Term, leader: Option<ids::ReplicaId>) {
         if term > self.hard.term {
-            let member = self.hard.member;
+            let settled_membership = self.hard.settled_membership;
             self.hard = HardState {
                 term,
                 vote: None,
                 leader: None,
-                member,
+                settled_membership,
             };
             self.writes.mark_hard_state_changed();
         }
         self.leader = leader;
         let was_follower = matches!(self.role, Role::Learner | Role::Follower);
-        self.role = if self.is_member() {
+        self.role = if self.is_voter() {
             Role::Follower
         } else {
             Role::Learner
--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -1,7 +1,5 @@
 //! Log entries, snapshots, and the state that must survive a restart.
 
-use std::collections::BTreeMap;
-
 use serde::{Deserialize, Serialize};
 
 use crate::ids;
@@ -74,17 +72,17 @@
         }
     }
 
-    /// Applies the membership change of this entry, if it has one, to the voters.
-    pub fn apply_membership(&self, members: &mut BTreeMap<ids::ReplicaId, ids::Incarnation>) {
-        if let Self::Replace { old, .. } = self {
-            members.remove(old);
+    /// Returns whether this entry changes the voters.
+    pub fn is_membership(&self) -> bool {
+        match self {
+            Self::Empty | Self::Command(_) => false,
+            Self::Admit { .. } | Self::Replace { .. } | Self::Found { .. } => true,
         }
-        members.extend(self.admissions());
     }
 }
 
-/// Term, vote and membership. A message that depends on a change of them is sent only after the
-/// change is synced.
+/// Term, vote and settled membership. A message that depends on a change of them is sent only after
+/// the change is synced.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
     /// Latest term seen.
@@ -94,8 +92,9 @@
     /// Replica whose lease this one may have confirmed in `term`: the one that it voted for, until
     /// it hears from another one as leader.
     pub leader: Option<ids::ReplicaId>,
-    /// Whether this replica knows that its incarnation is admitted; it doesn't vote before.
-    pub member: bool,
+    /// Index up to which the membership entries of the log are settled: the latest one that is
+    /// known to be committed. The bootstrap entry counts as committed.
+    pub settled_membership: ids::LogIndex,
 }
 
 /// Snapshot of the application's state at a log index, with the voters at that index.
@@ -118,7 +117,7 @@
     pub incarnation: ids::Incarnation,
     /// Whether the folder was empty, so that the incarnation is new.
     pub blank: bool,
-    /// Term, vote and membership.
+    /// Term, vote and settled membership.
     pub hard: HardState,
     /// Latest snapshot; its index is 0 if there is none.
     pub snapshot: LogSnapshot,
--- a/crates/quorum/src/fault.rs
+++ b/crates/quorum/src/fault.rs
@@ -24,4 +24,7 @@
     ProposeWithoutLease,
     /// Drops the lease of the current leader when any replica asks for votes.
     LeaseEndedByAnyone,
+    /// Lets a voter that was replaced vote and count toward a quorum, as the bootstrap entry admits
+    /// it.
+    ReplacedVotes,
 }
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -14,7 +14,7 @@
 //! | [`machine`] | the state machine and its event dispatch |
 //! | [`report`] | state of a replica for dumps |
 //!
-//! Private modules: `bootstrap` starts a new cluster, `election` elects leaders, `leadership` holds
+//! Private modules: `bootstrap` starts a new cluster, `membership` says who votes, `election` elects leaders, `leadership` holds
 //! the leader's state, `replication` and `follower` are the two sides of log replication with
 //! `progress` per peer, `rounds` tracks heartbeats for `reads` and the lease, `transfer` hands over
 //! the leadership at a planned stop, `log` holds the entries in memory, and `writes` orders disk
@@ -32,6 +32,7 @@
 mod leadership;
 mod log;
 pub mod machine;
+mod membership;
 pub mod message;
 mod progress;
 mod reads;
--- a/crates/quorum/src/machine.rs
+++ b/crates/quorum/src/machine.rs
@@ -8,12 +8,13 @@
 
 use crate::bootstrap::BootstrapState;
 use crate::config::QuorumConfig;
-use crate::entry::{EntryPayload, HardState, LogEntry, LogSnapshot, RecoveredState};
+use crate::entry::{HardState, LogEntry, LogSnapshot, RecoveredState};
 use crate::event::{AnswerOutcome, Effect, Event, Role};
 use crate::fault::InjectedFault;
 use crate::ids;
 use crate::leadership::Leadership;
 use crate::log::ReplicatedLog;
+use crate::membership::VoterSet;
 use crate::message::{Message, MessageBody};
 use crate::progress::PeerProgress;
 use crate::writes::{SyncRequirement, WriteQueue};
@@ -28,8 +29,8 @@
     pub(crate) leader: Option<ids::ReplicaId>,
     pub(crate) log: ReplicatedLog,
     pub(crate) snapshot: LogSnapshot,
-    /// Voters with their admitted incarnations as of the last log entry, committed or not.
-    pub(crate) members: BTreeMap<ids::ReplicaId, ids::Incarnation>,
+    /// Voters as of the last log entry, committed or not.
+    pub(crate) voters: VoterSet,
     pub(crate) commit: ids::LogIndex,
     pub(crate) applied: ids::LogIndex,
     pub(crate) writes: WriteQueue,
@@ -40,7 +41,8 @@
     /// Whether a leader made contact since the start.
     pub(crate) has_heard_leader: bool,
     pub(crate) election_deadline: Instant,
-    pub(crate) votes: BTreeSet<ids::ReplicaId>,
+    /// Replicas that granted their votes in the current election, with their incarnations.
+    pub(crate) votes: BTreeMap<ids::ReplicaId, ids::Incarnation>,
     pub(crate) leadership: Option<Leadership>,
     pub(crate) bootstrap: BootstrapState,
     /// Replicas that aren't voters, with the time of the latest message from each.
@@ -76,7 +78,7 @@
             hard: recovered.hard,
             role: Role::Learner,
             leader: None,
-            members: BTreeMap::new(),
+            voters: VoterSet::default(),
             commit: snapshot.index,
             applied: snapshot.index,
             writes: WriteQueue::new(log.last_index()),
@@ -84,7 +86,7 @@
             last_leader_contact: Some(now),
             has_heard_leader: false,
             election_deadline: now,
-            votes: BTreeSet::new(),
+            votes: BTreeMap::new(),
             leadership: None,
             bootstrap: BootstrapState::new(now, random.random()),
             learners: BTreeMap::new(),
@@ -98,12 +100,8 @@
             log,
             snapshot,
         };
-        machine.recompute_members();
-        let admitted = machine.snapshot.admitted.clone();
-        machine.hard.member |= admitted.contains(&(machine.config.id, machine.incarnation));
-        if machine.is_member() {
-            machine.role = Role::Follower;
-        }
+        machine.recompute_voters();
+        machine.follow_membership();
         machine.reported_state.0 = machine.role;
         machine.start_election_timer();
         machine
@@ -138,6 +136,7 @@
             Event::DiscoveredPeers(peers) => self.on_members(&peers),
             Event::TransferLeadership => self.transfer_leadership(),
         }
+        self.follow_membership();
         self.collect_effects(effects)
     }
 
@@ -197,7 +196,7 @@
 
     /// Returns the size of a majority of the voters.
     pub(crate) fn quorum(&self) -> usize {
-        let voters = match self.members.len() {
+        let voters = match self.voters.len() {
             0 => self.config.replicas.len(),
             count => count,
         };
@@ -206,12 +205,7 @@
 
     /// Returns the voters as of the last log entry, committed or not.
     pub fn voters(&self) -> impl Iterator<Item = ids::ReplicaId> + '_ {
-        self.members.keys().copied()
-    }
-
-    /// Returns whether this incarnation is admitted as a voter.
-    pub(crate) fn is_member(&self) -> bool {
-        self.hard.member || self.fault == Some(InjectedFault::BlankVotes)
+        self.voters.ids()
     }
 
     /// Returns whether this replica has no log and no snapshot.
@@ -226,8 +220,8 @@
         let learners = self.learners.iter();
         let learners = learners.filter(|(_, contact)| self.now < **contact + learner_timeout);
         let mut peers: BTreeSet<_> = learners.map(|(learner, _)| *learner).collect();
-        peers.extend(self.members.keys());
-        if self.members.is_empty() {
+        peers.extend(self.voters.ids());
+        if self.voters.len() == 0 {
             peers.extend(self.config.replicas.iter());
         }
         peers.remove(&self.config.id);
@@ -237,7 +231,7 @@
     /// Returns the replicas that this one sends greetings to.
     pub(crate) fn greeting_targets(&self) -> Vec<ids::ReplicaId> {
         let mut targets: BTreeSet<_> = self.config.replicas.iter().copied().collect();
-        targets.extend(self.members.keys());
+        targets.extend(self.voters.ids());
         targets.extend(self.bootstrap.discovered_voters());
         targets.remove(&self.config.id);
         targets.into_iter().collect()
@@ -315,7 +309,7 @@
         let message = Message {
             term,
             incarnation: self.incarnation,
-            member: self.is_member(),
+            member: self.is_voter(),
             body,
         };
         self.outbox
@@ -329,7 +323,7 @@
 
     /// Appends an entry to the log in memory; its write is issued at the end of the event.
     pub(crate) fn append(&mut self, entry: LogEntry) {
-        entry.payload.apply_membership(&mut self.members);
+        self.voters.apply(&entry);
         self.log.append(entry);
     }
 
@@ -337,7 +331,7 @@
     pub(crate) fn truncate(&mut self, from: ids::LogIndex) {
         self.log.truncate(from);
         self.writes.truncate(from);
-        self.recompute_members();
+        self.recompute_voters();
     }
 
     /// Raises the commit index to `index` and applies the entries that became committed.
@@ -348,7 +342,9 @@
                 return;
             };
             self.applied = entry.index;
-            self.update_own_membership(&entry);
+            if entry.payload.is_membership() {
+                self.settle_membership(entry.index);
+            }
             self.completed.push(Effect::Apply(entry));
             self.answer_applied();
         }
@@ -367,54 +363,10 @@
         self.snapshot = snapshot.clone();
         self.commit = index;
         self.applied = index;
-        self.recompute_members();
-        let own = (self.config.id, self.incarnation);
-        if snapshot.admitted.contains(&own) {
-            self.become_member();
-        } else if !snapshot.admitted.iter().any(|(voter, _)| *voter == own.0) {
-            // The entry that replaced this replica is covered by the snapshot.
-            self.lose_membership();
-        }
+        self.recompute_voters();
         self.completed.push(Effect::Restore(snapshot));
     }
 
-    /// Records that a committed entry, a snapshot or another replica's message admits this
-    /// incarnation.
-    pub(crate) fn become_member(&mut self) {
-        if self.hard.member {
-            return;
-        }
-        self.hard.member = true;
-        self.writes.mark_hard_state_changed();
-        if self.role == Role::Learner {
-            self.role = Role::Follower;
-            self.reset_election_timer();
-        }
-    }
-
-    fn update_own_membership(&mut self, entry: &LogEntry) {
-        let own = (self.config.id, self.incarnation);
-        if entry.payload.admissions().contains(&own) {
-            self.become_member();
-        }
-        if matches!(entry.payload, EntryPayload::Replace { old, .. } if old == own.0) {
-            self.lose_membership();
-        }
-    }
-
-    /// Records that this replica was replaced as a voter, and becomes a learner.
-    fn lose_membership(&mut self) {
-        if !self.hard.member {
-            return;
-        }
-        self.hard.member = false;
-        self.writes.mark_hard_state_changed();
-        if self.role != Role::Learner {
-            self.clear_leadership();
-            self.role = Role::Learner;
-        }
-    }
-
     /// Stores a snapshot of the application and compacts the log [`Self::RETAINED_ENTRIES`] before
     /// it.
     fn compact(&mut self, index: ids::LogIndex, data: Vec<u8>) {
@@ -424,7 +376,8 @@
         if index <= self.snapshot.index || index > self.applied {
             return;
         }
-        let admitted = self.members_at(index).into_iter().collect();
+        let admitted = self.voters_at(index).incarnations();
+        let admitted = admitted.into_iter().collect();
         self.snapshot = LogSnapshot {
             index,
             term,
@@ -436,24 +389,6 @@
             .compact(index.saturating_sub(Self::RETAINED_ENTRIES));
     }
 
-    fn recompute_members(&mut self) {
-        self.members = self.members_at(self.log.last_index());
-    }
-
-    /// Returns the voters as of `index`, which must not be before the snapshot.
-    pub(crate) fn members_at(
-        &self,
-        index: ids::LogIndex,
-    ) -> BTreeMap<ids::ReplicaId, ids::Incarnation> {
-        let mut members: BTreeMap<_, _> = self.snapshot.admitted.iter().copied().collect();
-        for position in self.snapshot.index + 1..=index {
-            if let Some(entry) = self.log.get(position) {
-                entry.payload.apply_membership(&mut members);
-            }
-        }
-        members
-    }
-
     fn tick(&mut self) {
         if self.sends_greetings() {
             self.tick_bootstrap();
@@ -471,14 +406,15 @@
         if from == self.config.id {
             return;
         }
-        if !self.members.contains_key(&from) {
+        if !self.voters.contains(from) {
             self.learners.insert(from, self.now);
             self.track_learner(from);
         }
         match message.body {
             MessageBody::Greeting { .. } => self.on_greeting(from, &message),
             MessageBody::Members { members } => self.on_members(&members),
-            MessageBody::Admitted { incarnation } => self.on_admitted(incarnation),
+            MessageBody::Settled { index, term } => self.on_settled(index, term),
+            MessageBody::Bootstrap { .. } => self.on_bootstrap(from, message),
             MessageBody::VoteRequest { .. } => self.on_vote_request(from, &message),
             MessageBody::VoteReply { pre, granted } => {
                 self.on_vote_reply(from, &message, pre, granted);
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -12,8 +12,8 @@
     pub term: ids::Term,
     /// Incarnation of the sender.
     pub incarnation: ids::Incarnation,
-    /// Whether the sender knows that its incarnation is admitted. Votes and acknowledgements of
-    /// other senders don't count toward a quorum.
+    /// Whether the sender is a voter by its own log. Votes and acknowledgements of other senders
+    /// don't count toward a quorum.
     pub member: bool,
     /// Content of the message.
     pub body: MessageBody,
@@ -82,15 +82,24 @@
         /// Latest nonce that the sender got from the receiver; 0 if there is none.
         echo: u64,
     },
-    /// Notifies a replica that its incarnation is admitted as a voter.
-    Admitted {
-        /// The admitted incarnation.
-        incarnation: ids::Incarnation,
+    /// Notifies a replica that the membership entries up to `index` are committed. A receiver whose
+    /// log holds that entry settles its membership by its own log.
+    Settled {
+        /// Index of a committed entry.
+        index: ids::LogIndex,
+        /// Term of that entry.
+        term: ids::Term,
     },
-    /// Answers a greeting on a replica that isn't the leader: names the voters, to which the sender
-    /// of the greeting sends its greetings as well.
+    /// Answers a greeting or a vote request of a replica that isn't a voter: names the voters, to which
+    /// that replica sends its greetings and vote requests as well.
     Members {
         /// Ids of the voters.
         members: Vec<ids::ReplicaId>,
     },
+    /// Hands the bootstrap entry to a replica that it names. A blank receiver starts its log with
+    /// it.
+    Bootstrap {
+        /// The first entry of the log.
+        entry: entry::LogEntry,
+    },
 }
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -9,8 +9,9 @@
 pub(crate) struct PeerProgress {
     /// Incarnation that answered last.
     pub(crate) incarnation: Option<ids::Incarnation>,
-    /// Whether that incarnation knows that it is admitted.
-    pub(crate) member: bool,
+    /// Index of the last entry up to which that incarnation was a voter by its own log, if it is
+    /// one.
+    pub(crate) voter_index: Option<ids::LogIndex>,
     /// First heartbeat round that started after the incarnation was first seen. An answer to this
     /// or a later round proves that the incarnation is still running.
     pub(crate) first_valid_round: u64,
@@ -31,7 +32,7 @@
     pub(crate) fn new(next_index: ids::LogIndex) -> Self {
         Self {
             incarnation: None,
-            member: false,
+            voter_index: None,
             first_valid_round: 0,
             match_index: 0,
             next_index,
@@ -41,15 +42,21 @@
         }
     }
 
-    /// Records the peer's incarnation and membership, and resets the progress if the incarnation
-    /// changed. `round` is the current heartbeat round.
-    pub(crate) fn track(&mut self, incarnation: ids::Incarnation, member: bool, round: u64) {
+    /// Records the peer's incarnation, and resets the progress if it changed. `round` is the current
+    /// heartbeat round.
+    pub(crate) fn track(&mut self, incarnation: ids::Incarnation, round: u64) {
         if self.incarnation != Some(incarnation) {
             *self = Self::new(self.next_index);
             self.incarnation = Some(incarnation);
             self.first_valid_round = round + 1;
         }
-        self.member = member;
+    }
+
+    /// Records whether the peer is a voter by its own log, which agrees with the leader's log up to
+    /// `index`.
+    pub(crate) fn record_voter(&mut self, is_voter: bool, index: ids::LogIndex) {
+        let known = self.voter_index.unwrap_or(0);
+        self.voter_index = is_voter.then_some(known.max(index));
     }
 
     /// Records that the peer has synced all entries up to `index`.
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -155,7 +155,8 @@
         let Some(progress) = leadership.peers.get_mut(&from) else {
             return;
         };
-        progress.track(message.incarnation, message.member, current);
+        progress.track(message.incarnation, current);
+        progress.record_voter(message.member, if matched { index } else { 0 });
         progress.last_contact = Some(now);
         progress.acked_round = progress.acked_round.max(round);
         if matched {
@@ -171,22 +172,30 @@
     }
 
     /// Returns whether the peer's acknowledgements count toward a quorum: the incarnation that
-    /// answered last is admitted and knows it.
+    /// answered last is a voter by its own log and by the leader's, and one of both knows that its
+    /// admission is committed.
     pub(crate) fn counts_toward_quorum(
         &self,
         peer: ids::ReplicaId,
         progress: &PeerProgress,
     ) -> bool {
-        let blank_counts = self.fault == Some(InjectedFault::BlankVotes);
-        let admitted = self.members.get(&peer).copied();
-        let known = progress.incarnation.is_some();
-        known && progress.member && (progress.incarnation == admitted || blank_counts)
+        let (Some(incarnation), Some(voter_index)) = (progress.incarnation, progress.voter_index)
+        else {
+            return false;
+        };
+        let admission = self.voters.admission(peer, incarnation);
+        admission
+            .is_some_and(|admission| self.is_settled(admission) || voter_index >= admission.index)
+            || self.fault == Some(InjectedFault::BlankVotes)
     }
 
     /// Returns the highest value that a quorum of voters has reached. `own` is this replica's value
     /// and `value` returns a peer's value.
     fn quorum_value(&self, own: u64, value: impl Fn(&PeerProgress) -> u64) -> u64 {
-        let mut values = vec![own];
+        let mut values = Vec::new();
+        if self.is_voter() {
+            values.push(own);
+        }
         if let Some(leadership) = &self.leadership {
             let counted = leadership
                 .peers
@@ -260,7 +269,7 @@
         let is_running = round >= progress.first_valid_round;
         let caught_up =
             progress.match_index >= self.commit && self.commit >= leadership.first_index;
-        let already_admitted = self.members.get(&replica) == Some(&incarnation);
+        let already_admitted = self.voters.admission(replica, incarnation).is_some();
         if already_admitted || !is_running || !caught_up || self.has_pending_admission() {
             return;
         }
@@ -278,8 +287,8 @@
         replica: ids::ReplicaId,
         incarnation: ids::Incarnation,
     ) -> Option<EntryPayload> {
-        let has_room = self.members.len() < self.config.target_voters;
-        if has_room || self.members.contains_key(&replica) {
+        let has_room = self.voters.len() < self.config.target_voters;
+        if has_room || self.voters.contains(replica) {
             return Some(EntryPayload::Admit {
                 replica,
                 incarnation,
@@ -303,18 +312,15 @@
                 .and_then(|progress| progress.last_contact)
                 .unwrap_or(leadership.elected_at)
         };
-        let others = self
-            .members
-            .keys()
-            .filter(|voter| **voter != self.config.id);
-        let oldest = others.min_by_key(|voter| last_contact(voter))?;
-        (self.now >= last_contact(oldest) + limit).then_some(*oldest)
+        let others = self.voters.ids().filter(|voter| *voter != self.config.id);
+        let oldest = others.min_by_key(last_contact)?;
+        (self.now >= last_contact(&oldest) + limit).then_some(oldest)
     }
 
     /// Returns whether the log holds an uncommitted admission; only one may be pending at a time.
     fn has_pending_admission(&self) -> bool {
         let open = self.commit + 1..=self.log.last_index();
         open.filter_map(|index| self.log.get(index))
-            .any(|entry| !entry.payload.admissions().is_empty())
+            .any(|entry| entry.payload.is_membership())
     }
 }
--- a/crates/quorum/src/report.rs
+++ b/crates/quorum/src/report.rs
@@ -17,7 +17,7 @@
     pub incarnation: ids::Incarnation,
     /// Current role, as the text form of [`crate::event::Role`].
     pub role: &'static str,
-    /// Whether the replica's incarnation is admitted as a voter.
+    /// Whether the replica's incarnation is a voter by its own log.
     pub member: bool,
     /// Whether the process is about to stop, so that the replica starts no more elections.
     pub stopping: bool,
@@ -74,7 +74,7 @@
             id: self.config.id,
             incarnation: self.incarnation,
             role: self.role.into(),
-            member: self.is_member(),
+            member: self.is_voter(),
             stopping: self.stopping,
             term: self.hard.term,
             leader: self.leader,
@@ -86,7 +86,7 @@
             snapshot_index: self.snapshot.index,
             entries_held: self.log.len(),
             messages_held: self.writes.held(),
-            members: self.members.clone(),
+            members: self.voters.incarnations(),
             proposals_open: leadership.map_or(0, |l| l.proposals.len()),
             reads_open: leadership.map_or(0, |l| l.reads.len()),
             peers: self.peer_reports(),
--- a/crates/quorum/tests/explorer.rs
+++ b/crates/quorum/tests/explorer.rs
@@ -13,10 +13,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use support::cluster::CheckResult;
-use support::explorer::{explore, explore_bridges, explore_members};
+use support::explorer::{explore, explore_bridges, explore_members, explore_replacements};
 
 const SCHEDULES: u64 = 10_000;
 const BRIDGE_SCHEDULES: u64 = 3_000;
+const REPLACEMENT_SCHEDULES: u64 = 1_000;
 const STEPS: usize = 400;
 const THREADS: usize = 4;
 
@@ -35,6 +36,13 @@
     run_all(BRIDGE_SCHEDULES, |seed| explore_bridges(seed, STEPS, None));
 }
 
+#[test]
+fn invariants_hold_while_voters_freeze_are_replaced_and_the_cluster_is_split() {
+    run_all(REPLACEMENT_SCHEDULES, |seed| {
+        explore_replacements(seed, None)
+    });
+}
+
 fn run_all(schedules: u64, explore: impl Fn(u64) -> CheckResult + Sync) {
     let first = std::env::var("EXPLORER_SEED").map_or(0, |seed| seed.parse().unwrap());
     let next = AtomicU64::new(first);
--- a/crates/quorum/tests/membership.rs
+++ b/crates/quorum/tests/membership.rs
@@ -10,9 +10,14 @@
 mod support;
 
 use std::collections::BTreeSet;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use quorum::config::QuorumConfig;
+use quorum::entry::{EntryPayload, HardState, LogEntry, RecoveredState};
+use quorum::event::{Effect, Event};
 use quorum::ids;
+use quorum::machine::QuorumMachine;
+use quorum::message::{Message, MessageBody};
 use support::cluster::SimulatedCluster;
 
 /// Returns a cluster that was bootstrapped by three replicas and that two others joined as voters.
@@ -138,3 +143,93 @@
     assert!(report.snapshot_index > 0, "{report:?}");
     assert!(!report.member, "{report:?}");
 }
+
+/// A voter that was replaced while it was suspended must not vote again because others report what the
+/// bootstrap entry says of it: its half of a split would elect a second leader.
+#[test]
+fn a_replaced_voter_gives_its_half_of_a_split_no_leader() {
+    let mut cluster = five_voters(6);
+    cluster.start(6);
+    cluster.run_for(Duration::from_secs(1)).unwrap();
+    let replaced = (1..=3).find(|id| cluster.leader() != Some(*id)).unwrap();
+    cluster.suspend(replaced, Duration::from_secs(4));
+    cluster.run_for(Duration::from_secs(6)).unwrap();
+    assert!(!voters(&cluster).contains(&replaced));
+    let leader = cluster.leader().unwrap();
+    let others = voters(&cluster).into_iter().filter(|id| *id != leader);
+    let (minority, majority): (Vec<_>, Vec<_>) = others.enumerate().partition(|(at, _)| *at < 2);
+    let without_positions = |group: Vec<(usize, u64)>| group.into_iter().map(|(_, id)| id);
+    let minority: Vec<_> = without_positions(minority).chain([replaced]).collect();
+    let majority: Vec<_> = without_positions(majority).chain([leader]).collect();
+    cluster.cut_groups(&minority, &majority, false);
+    for _ in 0..100 {
+        cluster.run_for(Duration::from_millis(100)).unwrap();
+        let leads = |id: &u64| cluster.role(*id) == Some(quorum::event::Role::Leader);
+        assert!(!minority.iter().any(leads), "{minority:?} have a leader");
+    }
+    assert!(commits(&mut cluster, b"in the majority"));
+    cluster.converge().unwrap();
+}
+
+/// A voter whose removal and new admission arrive in one message must not count toward the quorum that
+/// commits its admission: the former voters could still elect a leader without it.
+#[test]
+fn an_admission_that_is_not_committed_gives_no_vote() {
+    let members: Vec<_> = (1..=5).map(|id| (id, id * 100)).collect();
+    let entry = |index, payload| LogEntry {
+        term: 1,
+        index,
+        payload,
+    };
+    let recovered = RecoveredState {
+        incarnation: 500,
+        hard: HardState {
+            term: 1,
+            settled_membership: 1,
+            ..HardState::default()
+        },
+        entries: vec![entry(1, EntryPayload::Found { members })],
+        ..RecoveredState::default()
+    };
+    let now = Instant::now();
+    let mut machine = QuorumMachine::new(now, QuorumConfig::new(5, (1..=5).collect()), recovered);
+    let replace = |index, old, replica| {
+        let payload = EntryPayload::Replace {
+            old,
+            replica,
+            incarnation: replica * 100,
+        };
+        entry(index, payload)
+    };
+    let mut append = |prev_index, entries, commit| {
+        let message = Message {
+            term: 1,
+            incarnation: 100,
+            member: true,
+            body: MessageBody::Append {
+                prev_index,
+                prev_term: 1,
+                entries,
+                commit,
+                round: 1,
+            },
+        };
+        let mut effects = machine.handle(now, Event::Receive { from: 1, message });
+        for effect in effects.clone() {
+            if let Effect::Persist(write) = effect {
+                let token = write.token;
+                effects.extend(machine.handle(now, Event::Persisted { token }));
+            }
+        }
+        let replies = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Send { message, .. } => Some(message.member),
+            _ => None,
+        });
+        replies.collect::<Vec<_>>()
+    };
+    assert_eq!(append(1, Vec::new(), 1), [true]);
+    let entries = vec![replace(2, 5, 6), replace(3, 4, 5)];
+    assert_eq!(append(1, entries, 1), [false]);
+    append(3, Vec::new(), 3);
+    assert_eq!(append(3, Vec::new(), 3), [true]);
+}
--- a/crates/quorum/tests/support/cluster.rs
+++ b/crates/quorum/tests/support/cluster.rs
@@ -139,7 +139,7 @@
                 term: 1,
                 vote: None,
                 leader: None,
-                member: true,
+                settled_membership: 1,
             };
         }
     }
@@ -248,9 +248,27 @@
         if self.growth.is_some() {
             return self.bootstrapped && self.may_lose_voter(id);
         }
-        let others = self.nodes.iter().filter(|(other, _)| **other != id);
-        let mut members = others.map(|(_, node)| node.disk.durable.hard.member);
-        members.all(std::convert::identity)
+        let mut others = self.nodes.keys().filter(|other| **other != id);
+        others.all(|other| self.is_admitted_by_disk(*other))
+    }
+
+    /// Returns whether a replica that restarts from its disk is a voter: the log on the disk admits
+    /// its incarnation, and the disk holds that the admission is committed.
+    fn is_admitted_by_disk(&self, id: ids::ReplicaId) -> bool {
+        let durable = &self.nodes[&id].disk.durable;
+        let snapshot = &durable.snapshot;
+        let own = (id, durable.incarnation);
+        let mut admitted_at = snapshot.admitted.contains(&own).then_some(snapshot.index);
+        for entry in durable.entries.iter().filter(|e| e.index > snapshot.index) {
+            if matches!(entry.payload, EntryPayload::Replace { old, .. } if old == id) {
+                admitted_at = None;
+            }
+            if entry.payload.admissions().contains(&own) {
+                admitted_at = admitted_at.or(Some(entry.index));
+            }
+        }
+        let settled = snapshot.index.max(durable.hard.settled_membership);
+        admitted_at.is_some_and(|index| index <= settled)
     }
 
     /// Returns whether all other voters would be left with their disks. A replica counts as a voter
@@ -259,16 +277,21 @@
         let mut voters = BTreeSet::new();
         for node in self.nodes.values() {
             let durable = &node.disk.durable;
-            let mut members: BTreeMap<_, _> = durable.snapshot.admitted.iter().copied().collect();
+            let admitted = durable.snapshot.admitted.iter();
+            let mut members: BTreeSet<_> = admitted.map(|(voter, _)| *voter).collect();
             for entry in &durable.entries {
-                entry.payload.apply_membership(&mut members);
+                if let EntryPayload::Replace { old, .. } = entry.payload {
+                    members.remove(&old);
+                }
+                let admissions = entry.payload.admissions().into_iter();
+                members.extend(admissions.map(|(voter, _)| voter));
             }
-            voters.extend(members.into_keys());
+            voters.extend(members);
             voters.extend(node.machine.iter().flat_map(QuorumMachine::voters));
         }
         voters.remove(&id);
         let mut voters = voters.iter();
-        voters.all(|voter| self.nodes[voter].disk.durable.hard.member)
+        voters.all(|voter| self.is_admitted_by_disk(*voter))
     }
 
     pub fn isolate(&mut self, id: ids::ReplicaId) {
--- a/crates/quorum/tests/support/explorer.rs
+++ b/crates/quorum/tests/support/explorer.rs
@@ -13,6 +13,8 @@
 /// Probability of each kind of fault at each step; drawn for each schedule.
 struct FaultRates {
     crash: f64,
+    /// Probability of a crash of the leader.
+    crash_leader: f64,
     /// Probability of a crash of all replicas at once, most of which restart immediately.
     crash_all: f64,
     /// Probability of a crash while a vote is being written.
@@ -39,6 +41,7 @@
         };
         Self {
             crash: rate(0.05),
+            crash_leader: rate(0.1),
             crash_all: rate(0.01),
             crash_vote: rate(0.5),
             suspend: rate(0.02),
@@ -138,6 +141,65 @@
     cluster.converge()
 }
 
+/// Runs one schedule of rounds: a voter is suspended until a learner replaces it, wakes up, and the
+/// replicas fall into two halves. Clients send to all replicas of both halves.
+pub fn explore_replacements(seed: u64, fault: Option<InjectedFault>) -> CheckResult {
+    const ROUNDS: usize = 4;
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut cluster = SimulatedCluster::new(6, seed ^ 0x3e91, fault);
+    cluster.growth = Some((3, 5));
+    for id in cluster.ids() {
+        cluster.start(id);
+    }
+    cluster.run_for(Duration::from_secs(4))?;
+    cluster.bootstrapped = true;
+    cluster.conditions.drop_probability = random.random_range(0.0..0.1);
+    cluster.conditions.duplicate_probability = random.random_range(0.0..0.2);
+    cluster.conditions.delay_probability = random.random_range(0.0..0.05);
+    cluster.conditions.max_delay = Duration::from_millis(random.random_range(50..4000));
+    for round in 0..ROUNDS {
+        let voter = choose(&cluster.ids(), &mut random);
+        cluster.suspend(
+            voter,
+            Duration::from_millis(random.random_range(1_000..4_000)),
+        );
+        run_with_requests(&mut cluster, round, &mut random)?;
+        if random.random_bool(0.3) {
+            for id in cluster.ids() {
+                cluster.crash(id);
+                cluster.start(id);
+            }
+        }
+        if random.random_bool(0.3) {
+            let id = choose(&cluster.ids(), &mut random);
+            cluster.snapshot(id)?;
+        }
+        cluster.split();
+        run_with_requests(&mut cluster, round, &mut random)?;
+        cluster.heal();
+    }
+    cluster.converge()
+}
+
+/// Runs the cluster for some seconds, in which all replicas get proposals and reads.
+fn run_with_requests(
+    cluster: &mut SimulatedCluster,
+    round: usize,
+    random: &mut SmallRng,
+) -> CheckResult {
+    let end = cluster.now + Duration::from_millis(random.random_range(1_000..6_000));
+    while cluster.now < end {
+        cluster.run_for(Duration::from_millis(random.random_range(50..400)))?;
+        for id in cluster.ids() {
+            if cluster.is_active(id) {
+                cluster.propose(id, &round.to_le_bytes())?;
+                cluster.read(id)?;
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Sends a read or a proposal at random, preferably to a leader.
 fn send_request(cluster: &mut SimulatedCluster, step: usize, random: &mut SmallRng) -> CheckResult {
     if !random.random_bool(0.2) {
@@ -185,6 +247,12 @@
     if running && random.random_bool(crash) {
         cluster.crash(id);
     }
+    if let Some(leader) = cluster
+        .leader()
+        .filter(|_| random.random_bool(rates.crash_leader))
+    {
+        cluster.crash(leader);
+    }
     if random.random_bool(rates.crash_all) {
         for id in cluster.ids() {
             let running = cluster.role(id).is_some();
