fix(director,quorum,feed): bound what is kept in bytes, not by count

Cause: configurations were kept by count. The feed of the product's own programs kept 1,024 tickets of up to 4 MiB.

Ruled out: memory that is not given back.

--- a/crates/balance/tests/simulation/mod.rs
+++ b/crates/balance/tests/simulation/mod.rs
@@ -9,6 +9,7 @@
 )]
 
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use balance::balancer::LoadBalancer;
@@ -19,7 +20,7 @@
 use fleet::change::FleetView;
 use fleet::hint::ServerIncarnation;
 use fleet::server::{ServerRecord, ServerState};
-use fleet::site::ServiceSpec;
+use fleet::site::{ServiceSpec, SiteConfig};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -97,17 +98,19 @@
 }
 
 pub fn view(servers: &[ServerRecord], cold_rate: f64) -> FleetView {
-    let mut view = FleetView {
-        version: 1,
-        ..FleetView::default()
-    };
-    view.site.services.push(ServiceSpec {
+    let mut site = SiteConfig::default();
+    site.services.push(ServiceSpec {
         name: SERVICE.to_string(),
         health_path: "/health".to_string(),
         max_connections: 100,
         cold_period: Duration::from_secs(3),
         cold_rate,
     });
+    let mut view = FleetView {
+        version: 1,
+        site: Arc::new(site),
+        ..FleetView::default()
+    };
     let servers = servers
         .iter()
         .map(|server| (server.id.clone(), server.clone()));
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -51,7 +51,7 @@
     holder: Arc<StateHolder>,
     /// Index of the last applied entry, for reads that wait for it.
     applied: watch::Sender<quorum::ids::LogIndex>,
-    /// Index of the last entry that a snapshot covers.
+    /// Index of the last entry that a snapshot covers or failed to cover.
     snapshot_index: quorum::ids::LogIndex,
     /// Term of the last applied entry.
     applied_term: quorum::ids::Term,
--- a/crates/control/src/core/apply.rs
+++ b/crates/control/src/core/apply.rs
@@ -94,7 +94,8 @@
     /// Takes a snapshot once enough entries were applied since the last one.
     pub(super) fn snapshot_if_due(&mut self, now: Instant) {
         let applied = self.machine.applied_index();
-        if applied < self.snapshot_index + self.settings.snapshot_every {
+        let is_due = self.machine.needs_snapshot(self.settings.snapshot_every);
+        if !is_due || applied == self.snapshot_index {
             return;
         }
         self.snapshot_index = applied;
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -40,6 +40,9 @@
 /// Duration of the leader's lease after a quorum answered it; below the election timeout.
 const LEASE_DURATION: Duration = Duration::from_millis(750);
 
+/// Log entries between snapshots.
+const SNAPSHOT_INTERVAL_ENTRIES: u64 = 512;
+
 /// Interval between reports to the other replicas.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -388,6 +391,9 @@
     }
 
     fn snapshot_if_due(&mut self, now: Instant) {
+        if !self.machine.needs_snapshot(SNAPSHOT_INTERVAL_ENTRIES) {
+            return;
+        }
         let index = self.machine.applied_index();
         if let Some(data) = self.replicated.take_snapshot(index) {
             self.handle_event(now, Event::SnapshotTaken { index, data });
--- a/crates/director/src/replicated.rs
+++ b/crates/director/src/replicated.rs
@@ -9,9 +9,6 @@
 use quorum::entry::{LogSnapshot, RecoveredState};
 use quorum::ids::LogIndex;
 
-/// Log entries between snapshots.
-const SNAPSHOT_INTERVAL_ENTRIES: u64 = 512;
-
 /// Most outcomes of applied commands that are kept for answers to their proposers.
 const MAX_KEPT_OUTCOMES: usize = 256;
 
@@ -22,6 +19,7 @@
     changes: ChangeLog,
     /// Outcomes of the latest applied commands, by log index.
     outcomes: BTreeMap<LogIndex, CommandOutcome>,
+    /// Index of the last entry that a snapshot covers or failed to cover.
     snapshot_index: LogIndex,
     /// Index of the last log entry that was recovered from the disk.
     recovered_index: LogIndex,
@@ -66,6 +64,7 @@
         index: LogIndex,
         command: &[u8],
     ) -> Option<(CommandOutcome, Vec<FleetChange>)> {
+        let command_bytes = command.len();
         let command: FleetCommand = match postcard::from_bytes(command) {
             Ok(command) => command,
             Err(e) => {
@@ -74,7 +73,7 @@
             }
         };
         let (outcome, changes) = self.state.apply(index, command);
-        self.changes.append(index, changes.clone());
+        self.changes.append(index, changes.clone(), command_bytes);
         self.outcomes.insert(index, outcome);
         while self.outcomes.len() > MAX_KEPT_OUTCOMES {
             self.outcomes.pop_first();
@@ -104,9 +103,9 @@
         }
     }
 
-    /// Returns the encoded state, if a snapshot is due.
+    /// Returns the encoded state; `None` where it can't be encoded, or was encoded before.
     pub(crate) fn take_snapshot(&mut self, applied: LogIndex) -> Option<Vec<u8>> {
-        if applied < self.snapshot_index + SNAPSHOT_INTERVAL_ENTRIES {
+        if applied == self.snapshot_index {
             return None;
         }
         self.snapshot_index = applied;
--- a/crates/director/tests/many.rs
+++ b/crates/director/tests/many.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use director::message::FollowReply;
@@ -169,7 +170,7 @@
             version,
             base: version - 1,
             document: b"{}".to_vec(),
-            site: SiteConfig::default(),
+            site: Arc::new(SiteConfig::default()),
         })
     }));
     let (_, woken_at) = count_changes(take_replies(answers));
--- a/crates/feed/src/holder.rs
+++ b/crates/feed/src/holder.rs
@@ -70,6 +70,9 @@
     /// snapshot.
     pub const MAX_RECENT_CHANGES: usize = 1_024;
 
+    /// Maximum bytes of tickets kept for watchers that lag.
+    pub const MAX_RECENT_BYTES: usize = 8 << 20;
+
     /// Creates a holder without state.
     pub fn new() -> Self {
         Self {
@@ -156,8 +159,11 @@
             return Err(HolderError::DigestMismatch(change.revision));
         }
         recent.push_back(change);
-        if recent.len() > Self::MAX_RECENT_CHANGES {
-            recent.pop_front();
+        let mut bytes: usize = recent.iter().map(|change| change.ticket.len()).sum();
+        while recent.len() > Self::MAX_RECENT_CHANGES || bytes > Self::MAX_RECENT_BYTES {
+            if let Some(oldest) = recent.pop_front() {
+                bytes -= oldest.ticket.len();
+            }
         }
         self.replace_state(&view, Arc::new(state));
         Ok(true)
--- a/crates/feed/tests/holder.rs
+++ b/crates/feed/tests/holder.rs
@@ -127,3 +127,20 @@
     let revisions: Vec<_> = after.iter().map(|change| change.revision).collect();
     assert_eq!(revisions, [count - 2, count - 1, count]);
 }
+
+/// A number of kept changes alone would let large tickets take hundreds of megabytes.
+#[test]
+fn the_kept_changes_are_bounded_in_bytes() {
+    const TICKET_BYTES: usize = StateHolder::MAX_RECENT_BYTES / 4;
+    let states = history(10);
+    let holder = StateHolder::new();
+    for revision in 1..=10 {
+        let mut change = change(&states, revision);
+        let mut ticket = change.ticket.to_vec();
+        ticket.resize(TICKET_BYTES, b' ');
+        change.ticket = ticket.into();
+        holder.publish_change(change).unwrap();
+    }
+    assert!(holder.changes_after(5).is_none());
+    assert_eq!(holder.changes_after(6).unwrap().len(), 4);
+}
--- a/crates/fleet/src/change.rs
+++ b/crates/fleet/src/change.rs
@@ -1,6 +1,7 @@
 //! Log of recent changes, from which entry hosts update their copies of the state.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -17,7 +18,7 @@
         /// Version of the configuration.
         version: ids::SiteVersion,
         /// The configuration.
-        site: SiteConfig,
+        site: Arc<SiteConfig>,
     },
     /// A backend server was added or its record changed.
     Server(ServerRecord),
@@ -46,7 +47,7 @@
     /// Version of the configuration; 0 where there is none yet.
     pub version: ids::SiteVersion,
     /// Configuration in force.
-    pub site: SiteConfig,
+    pub site: Arc<SiteConfig>,
     /// Backend servers by id.
     pub servers: BTreeMap<ids::ServerId, ServerRecord>,
     /// Evacuated availability zones.
@@ -120,41 +121,88 @@
     Whole(Box<FleetView>),
 }
 
-/// Bounded log of the latest changes.
+/// Log of the latest changes, bounded in number and bytes. A configuration that a later one replaced is
+/// left out.
 #[derive(Debug, Default)]
 pub struct ChangeLog {
     /// Revision after which the log holds every change.
     base: ids::Revision,
     latest: ids::Revision,
-    changes: VecDeque<(ids::Revision, FleetChange)>,
+    changes: VecDeque<LoggedChange>,
+    /// Sum of the bytes of all changes.
+    bytes: usize,
+}
+
+#[derive(Debug)]
+struct LoggedChange {
+    revision: ids::Revision,
+    change: FleetChange,
+    /// Upper bound of the encoded size.
+    bytes: usize,
 }
 
 impl ChangeLog {
     /// Number of changes that the log keeps; an entry host that lags further gets a complete copy.
     pub const MAX_CHANGES: usize = 2_048;
 
+    /// Bytes of changes that the log keeps; the latest command's changes are kept whatever their size.
+    pub const MAX_BYTES: usize = 2 << 20;
+
     /// Creates an empty log that begins at a revision.
     pub fn new(base: ids::Revision) -> Self {
         Self {
             base,
             latest: base,
             changes: VecDeque::new(),
+            bytes: 0,
         }
     }
 
-    /// Appends the changes of one command and drops the oldest ones beyond the bound.
-    pub fn append(&mut self, revision: ids::Revision, changes: Vec<FleetChange>) {
+    /// Appends the changes of one command and drops the oldest ones beyond the bounds. Each change
+    /// counts with the encoded size of the command.
+    pub fn append(
+        &mut self,
+        revision: ids::Revision,
+        changes: Vec<FleetChange>,
+        command_bytes: usize,
+    ) {
         if changes.is_empty() {
             return;
         }
         self.latest = revision;
-        let changes = changes.into_iter().map(|change| (revision, change));
-        self.changes.extend(changes);
-        while self.changes.len() > Self::MAX_CHANGES {
-            if let Some((revision, _)) = self.changes.pop_front() {
-                self.base = revision;
+        for change in changes {
+            if matches!(change, FleetChange::Site { .. }) {
+                self.remove_sites();
             }
+            self.bytes += command_bytes;
+            self.changes.push_back(LoggedChange {
+                revision,
+                change,
+                bytes: command_bytes,
+            });
         }
+        while self.changes.len() > Self::MAX_CHANGES || self.bytes > Self::MAX_BYTES {
+            let is_latest = |logged: &LoggedChange| logged.revision == revision;
+            if self.changes.front().is_none_or(is_latest) {
+                break;
+            }
+            if let Some(oldest) = self.changes.pop_front() {
+                self.bytes -= oldest.bytes;
+                self.base = oldest.revision;
+            }
+        }
+    }
+
+    /// Removes the configurations, as a later one replaces them.
+    fn remove_sites(&mut self) {
+        let bytes = &mut self.bytes;
+        self.changes.retain(|logged| {
+            let is_site = matches!(logged.change, FleetChange::Site { .. });
+            if is_site {
+                *bytes -= logged.bytes;
+            }
+            !is_site
+        });
     }
 
     /// Returns the latest revision.
@@ -171,10 +219,10 @@
         if revision < self.base || revision > self.latest {
             return None;
         }
-        let later = self.changes.iter().filter(|(at, _)| *at > revision);
+        let later = self.changes.iter().filter(|at| at.revision > revision);
         Some(FleetUpdate::Changes {
             revision: self.latest,
-            changes: later.map(|(_, change)| change.clone()).collect(),
+            changes: later.map(|logged| logged.change.clone()).collect(),
         })
     }
 }
--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -1,5 +1,7 @@
 //! Commands that change the state, and their outcomes.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::hint::ServerIncarnation;
@@ -51,7 +53,7 @@
     /// The document that the operator sent, byte for byte.
     pub document: Vec<u8>,
     /// The validated configuration.
-    pub site: SiteConfig,
+    pub site: Arc<SiteConfig>,
 }
 
 /// Outcome of a command.
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -1,6 +1,7 @@
 //! Replicated state machine of a deployment.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
@@ -32,7 +33,7 @@
     /// The document that the operator sent, byte for byte.
     pub document: Vec<u8>,
     /// The validated configuration.
-    pub site: SiteConfig,
+    pub site: Arc<SiteConfig>,
 }
 
 /// A request that is held back from all backend servers.
--- a/crates/fleet/tests/state.rs
+++ b/crates/fleet/tests/state.rs
@@ -2,6 +2,7 @@
 //! log.
 #![allow(missing_docs, clippy::unwrap_used)]
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fleet::change::{ChangeLog, FleetChange, FleetUpdate, FleetView};
@@ -21,8 +22,9 @@
 impl TestLog {
     fn apply(&mut self, command: FleetCommand) -> CommandOutcome {
         self.index += 1;
+        let bytes = postcard::to_allocvec(&command).unwrap().len();
         let (outcome, changes) = self.state.apply(self.index, command);
-        self.changes.append(self.index, changes);
+        self.changes.append(self.index, changes, bytes);
         outcome
     }
 
@@ -31,7 +33,7 @@
             version,
             base,
             document: document.as_bytes().to_vec(),
-            site: SiteConfig::default(),
+            site: Arc::new(SiteConfig::default()),
         }))
     }
 
@@ -241,7 +243,8 @@
 fn a_revision_that_the_change_log_no_longer_covers_has_no_update() {
     let mut changes = ChangeLog::new(0);
     for index in 1..=ChangeLog::MAX_CHANGES as u64 + 2 {
-        changes.append(index, vec![FleetChange::ServerGone(index.to_string())]);
+        let change = FleetChange::ServerGone(index.to_string());
+        changes.append(index, vec![change], 16);
     }
     assert_eq!(changes.update_since(0), None);
     assert_eq!(
@@ -250,3 +253,43 @@
     );
     assert_eq!(changes.update_since(changes.latest_revision() + 1), None);
 }
+
+/// A change log that is bounded by count alone keeps each of hundreds of large configurations in full.
+#[test]
+fn the_change_log_keeps_only_the_latest_configuration() {
+    let mut log = TestLog::default();
+    let document = "x".repeat(ChangeLog::MAX_BYTES / 4);
+    log.announce("a", 1, 80, ServerState::Ready);
+    for version in 1..=40 {
+        log.site(version, version - 1, &document);
+    }
+    let Some(FleetUpdate::Changes { changes, .. }) = log.changes.update_since(1) else {
+        panic!("the change log doesn't cover the first configuration");
+    };
+    let versions: Vec<_> = changes
+        .iter()
+        .filter_map(|change| match change {
+            FleetChange::Site { version, .. } => Some(*version),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(versions, [40]);
+}
+
+#[test]
+fn the_change_log_is_bounded_in_bytes() {
+    let mut changes = ChangeLog::new(0);
+    let command_bytes = ChangeLog::MAX_BYTES / 8;
+    for index in 1..=20 {
+        changes.append(
+            index,
+            vec![FleetChange::Evacuated(index.to_string())],
+            command_bytes,
+        );
+    }
+    assert_eq!(changes.update_since(11), None);
+    let Some(FleetUpdate::Changes { changes, .. }) = changes.update_since(12) else {
+        panic!("the change log doesn't cover what fits its bound");
+    };
+    assert_eq!(changes.len(), 8);
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,7 +30,7 @@
     /// Version of the configuration; 0 before the first one.
     pub version: ids::SiteVersion,
     /// The configuration, with the routes.
-    pub site: SiteConfig,
+    pub site: Arc<SiteConfig>,
 }
 
 /// Versions of what a host knows, from which a control replica determines the updates that it needs.
@@ -327,7 +327,7 @@
         }
     }
 
-    fn set_routes(&self, version: ids::SiteVersion, site: SiteConfig) {
+    fn set_routes(&self, version: ids::SiteVersion, site: Arc<SiteConfig>) {
         log::info!(target: "routes", "configuration in force; version={version}");
         lock(&self.split_credits).clear();
         self.routes.store(Arc::new(RouteTable { version, site }));
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -94,6 +94,45 @@
         batch
     }
 
+    /// Returns the bytes of commands in the entries after index `after`, up to index `to`. Stops
+    /// counting at `limit`.
+    pub(crate) fn command_bytes(
+        &self,
+        after: ids::LogIndex,
+        to: ids::LogIndex,
+        limit: usize,
+    ) -> usize {
+        let mut bytes = 0;
+        for index in after + 1..=to {
+            if bytes >= limit {
+                break;
+            }
+            bytes += self.get(index).map_or(0, |e| e.payload.command_len());
+        }
+        bytes
+    }
+
+    /// Returns the lowest index after which up to `max_entries` entries with up to `max_bytes` bytes
+    /// of commands precede the entry after `index`.
+    pub(crate) fn retention_base(
+        &self,
+        index: ids::LogIndex,
+        max_entries: u64,
+        max_bytes: usize,
+    ) -> ids::LogIndex {
+        let lowest = index.saturating_sub(max_entries).max(self.base_index);
+        let mut base = index;
+        let mut bytes = 0;
+        while base > lowest {
+            bytes += self.get(base).map_or(0, |e| e.payload.command_len());
+            if bytes > max_bytes {
+                break;
+            }
+            base -= 1;
+        }
+        base
+    }
+
     /// Appends the entry that follows the last one.
     pub(crate) fn append(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
--- a/crates/quorum/src/machine.rs
+++ b/crates/quorum/src/machine.rs
@@ -33,6 +33,8 @@
     pub(crate) voters: VoterSet,
     pub(crate) commit: ids::LogIndex,
     pub(crate) applied: ids::LogIndex,
+    /// Bytes of the commands that were applied after the latest snapshot.
+    bytes_since_snapshot: usize,
     pub(crate) writes: WriteQueue,
     pub(crate) now: Instant,
     /// Time of the latest message from a leader; initially the start time. `None` if no leader's
@@ -59,6 +61,10 @@
     /// Number of entries kept before a snapshot, so that followers slightly behind don't need the
     /// snapshot.
     pub const RETAINED_ENTRIES: u64 = 256;
+    /// Maximum bytes of commands in the entries that are kept before a snapshot.
+    pub const RETAINED_BYTES: usize = 4 << 20;
+    /// Bytes of commands after which the next snapshot is due, whatever the number of entries.
+    pub const SNAPSHOT_INTERVAL_BYTES: usize = 8 << 20;
     /// Time to the next tick if nothing is scheduled.
     const IDLE: Duration = Duration::from_secs(3600);
 
@@ -81,6 +87,7 @@
             voters: VoterSet::default(),
             commit: snapshot.index,
             applied: snapshot.index,
+            bytes_since_snapshot: 0,
             writes: WriteQueue::new(log.last_index()),
             now,
             last_leader_contact: Some(now),
@@ -183,6 +190,13 @@
         self.applied
     }
 
+    /// Returns whether the application should take a snapshot: since the latest one, `max_entries`
+    /// entries or [`Self::SNAPSHOT_INTERVAL_BYTES`] of commands were applied.
+    pub fn needs_snapshot(&self, max_entries: u64) -> bool {
+        self.applied >= self.snapshot.index + max_entries
+            || self.bytes_since_snapshot >= Self::SNAPSHOT_INTERVAL_BYTES
+    }
+
     /// Returns whether this replica is the leader and holds a valid lease at `now`. A leader that
     /// transfers its leadership has no lease.
     pub fn has_lease(&self, now: Instant) -> bool {
@@ -342,6 +356,7 @@
                 return;
             };
             self.applied = entry.index;
+            self.bytes_since_snapshot += entry.payload.command_len();
             if entry.payload.is_membership() {
                 self.settle_membership(entry.index);
             }
@@ -363,12 +378,13 @@
         self.snapshot = snapshot.clone();
         self.commit = index;
         self.applied = index;
+        self.bytes_since_snapshot = 0;
         self.recompute_voters();
         self.completed.push(Effect::Restore(snapshot));
     }
 
-    /// Stores a snapshot of the application and compacts the log [`Self::RETAINED_ENTRIES`] before
-    /// it.
+    /// Stores a snapshot of the application and compacts the log before it, up to the entries that
+    /// are retained.
     fn compact(&mut self, index: ids::LogIndex, data: Vec<u8>) {
         let Some(term) = self.log.term_at(index) else {
             return;
@@ -384,9 +400,12 @@
             admitted,
             data,
         };
+        self.bytes_since_snapshot = self.log.command_bytes(index, self.applied, usize::MAX);
         self.writes.queue_snapshot(self.snapshot.clone(), false);
-        self.log
-            .compact(index.saturating_sub(Self::RETAINED_ENTRIES));
+        let base = self
+            .log
+            .retention_base(index, Self::RETAINED_ENTRIES, Self::RETAINED_BYTES);
+        self.log.compact(base);
     }
 
     fn tick(&mut self) {
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -15,6 +15,8 @@
     const MAX_BATCH_BYTES: usize = 1 << 20;
     /// Maximum number of batches in flight to one peer.
     const MAX_BATCHES_IN_FLIGHT: u64 = 4;
+    /// Bytes of commands in flight to one peer from which no further batch is sent.
+    const MAX_BYTES_IN_FLIGHT: usize = 4 << 20;
 
     /// Appends a proposal to the log, or rejects it if this replica has no lease.
     pub(crate) fn propose(&mut self, request: ids::RequestId, command: Vec<u8>) {
@@ -108,7 +110,14 @@
         }
         let mut entries = Vec::new();
         let window = Self::MAX_BATCHES_IN_FLIGHT * batch as u64;
-        if !snapshot_in_flight && progress.next_index <= progress.match_index + window.max(1) {
+        let in_flight = self.log.command_bytes(
+            progress.match_index.max(self.log.base_index()),
+            progress.next_index - 1,
+            Self::MAX_BYTES_IN_FLIGHT,
+        );
+        let has_room = progress.next_index <= progress.match_index + window.max(1)
+            && in_flight < Self::MAX_BYTES_IN_FLIGHT;
+        if !snapshot_in_flight && has_room {
             entries = self
                 .log
                 .batch(progress.next_index, batch, Self::MAX_BATCH_BYTES);
