fix(gateway): ready answers leave before a stopping host ends

Cause: answers leave in the order of their requests, and nothing gave the slower request an end before the process ended: the shutdown waited for open connections and left the rest to the exit. Requests at which a server was still at work were cut too, without an answer that they may have run. Once its listener was closed, a host went on to take requests behind others.

Ruled out: lost answers between server and host; writes that block. The product's own server (crates/forward) reads a request only after the answer before it, so no answer can be ready behind another there.

Change: at nine tenths of the grace period a host answers what is left itself, with 502 "may have run", and ready answers behind it leave. With its listener closed, a connection with unanswered requests takes no more of them; its last answer closes it, and the client sends those again.

--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -74,13 +74,16 @@
     let mut unsupported = false;
     let mut written: usize = 0;
     loop {
+        // A client sends the requests that it has sent behind the last answer again.
+        let is_stopping = *phase.borrow() >= ServerPhase::Stopping;
+        open &= !is_stopping || answers.is_empty();
         while open && !unsupported && answers.len() < MAX_PIPELINED {
             match parse_head(&buffer, limits.max_header_bytes) {
                 PipelineHead::Partial => break,
                 PipelineHead::Unsupported => unsupported = true,
                 PipelineHead::Complete(parts, length) => {
                     buffer.advance(length);
-                    open = !attempt::has_connection_close(&parts.headers);
+                    open = !is_stopping && !attempt::has_connection_close(&parts.headers);
                     answers.push_back(answer(*parts));
                 }
             }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -52,6 +52,10 @@
 /// Largest share of the shutdown timeout that [`TRANSIT_GRACE`] takes.
 const MAX_GRACE_SHARE: f64 = 0.2;
 
+/// Share of the shutdown timeout after which the host answers the requests that are still unanswered
+/// itself, so that answers that are ready behind them leave before the process ends.
+const FINISH_SHARE: f64 = 0.9;
+
 /// Share of the shutdown timeout after which the shutdown ends even if connections are left.
 const MAX_SHUTDOWN_SHARE: f64 = 0.94;
 
@@ -79,6 +83,8 @@
     Stopping,
     /// Also closes the connections without a request in flight.
     ClosingIdle,
+    /// Also answers all requests that backend servers have not answered.
+    Finishing,
 }
 
 /// Serves client connections.
@@ -130,8 +136,8 @@
     }
 
     /// Shuts down gracefully: closes each connection after its next answer, then also the
-    /// connections without a request in flight, and waits for the others until the timeout is
-    /// nearly over.
+    /// connections without a request in flight, and waits for the others. When the timeout is nearly
+    /// over, it answers the requests that are left itself.
     pub async fn shutdown(&self, timeout: Duration) {
         let started_at = Instant::now();
         self.phase.send_replace(ServerPhase::Draining);
@@ -139,10 +145,11 @@
         self.phase.send_replace(ServerPhase::Stopping);
         task::sleep(TRANSIT_GRACE.min(timeout.mul_f64(MAX_GRACE_SHARE))).await;
         self.phase.send_replace(ServerPhase::ClosingIdle);
-        let end = started_at + timeout.mul_f64(MAX_SHUTDOWN_SHARE);
-        while self.connections.load(Ordering::Acquire) > 0 && Instant::now() < end {
-            task::sleep(SHUTDOWN_POLL_INTERVAL).await;
-        }
+        self.wait_closed(started_at + timeout.mul_f64(FINISH_SHARE))
+            .await;
+        self.phase.send_replace(ServerPhase::Finishing);
+        self.wait_closed(started_at + timeout.mul_f64(MAX_SHUTDOWN_SHARE))
+            .await;
         let left = self.connections.load(Ordering::Acquire);
         log::info!(
             target: "clients",
@@ -150,6 +157,13 @@
         );
     }
 
+    /// Waits until all connections are closed, or until `end`.
+    async fn wait_closed(&self, end: Instant) {
+        while self.connections.load(Ordering::Acquire) > 0 && Instant::now() < end {
+            task::sleep(SHUTDOWN_POLL_INTERVAL).await;
+        }
+    }
+
     async fn serve_connection(self: Arc<Self>, socket: TcpStream, peer: SocketAddr) {
         self.connections.fetch_add(1, Ordering::AcqRel);
         let options = socket2::SockRef::from(&socket);
@@ -235,7 +249,7 @@
         let sender = self.forwarder.sender();
         let names = &sender.names;
         let id = parts.headers.get(&names.request_id).cloned();
-        let answer = match self.forward(parts, body).await {
+        let answer = match self.forward_until_finishing(parts, body).await {
             Ok(ForwardEnd::Server(answer)) => {
                 let status = answer.status().as_u16();
                 sender
@@ -263,6 +277,21 @@
         response
     }
 
+    /// Forwards a request, and gives its answer up when the host finishes its shutdown.
+    async fn forward_until_finishing(
+        &self,
+        parts: Parts,
+        body: Option<Incoming>,
+    ) -> Result<ForwardEnd, HostAnswer> {
+        let mut phase = self.phase.subscribe();
+        let finishing = std::pin::pin!(wait_phase(&mut phase, ServerPhase::Finishing));
+        let forwarding = std::pin::pin!(self.forward(parts, body));
+        match future::select(forwarding, finishing).await {
+            Either::Left((end, _)) => end,
+            Either::Right(_) => Err(HostAnswer::Unknown("the host stops before the answer came")),
+        }
+    }
+
     async fn forward(
         &self,
         parts: Parts,
