fix(gateway): a refusal counts only as the server's word on this request

A report of other operators: a faulty server writes an earlier refusal once more on a kept connection, and clients are told "not run" of requests that run (REFUSED), or these run at a second server (TWICE).

Cause: an answer belonged to the request that bears its id, or to any request without one. A client that sends a refused request again under its id, and one that sends none, got the copy. 408, 429 and 503 to requests that must not run twice were passed on also where the server didn't say that it hadn't run them.

Ruled out: the host's own retry, which never goes to a server that was tried.

Change: a connection remembers what was refused on it, and a second refusal of that counts as "may have run"; so does any answer without id on a kept connection; a promise without the server's word becomes 502.

Evidence: three tests of platform/tests/requests.rs failed before with 503 and pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,6 +13,7 @@
 use fleet::ids;
 use fleet::limit::RequestRate;
 use http::header::{HeaderMap, CONNECTION, CONTENT_ENCODING, HOST, RETRY_AFTER};
+use http::response::Parts;
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -280,9 +281,13 @@
             return broken("an answer to another request came".to_string());
         }
         // It may be a late second copy of the answer to an earlier request.
-        if id_matches.is_none() && connection.reused && !request.id.is_empty() {
+        if id_matches.is_none() && connection.reused {
             return broken("an answer without id came on a reused connection".to_string());
         }
+        let refusal = self.refusal(&parts);
+        if refusal.is_some() && connection.has_refused(&request.id) {
+            return broken("a refusal came that the connection has carried before".to_string());
+        }
         let load = self.reported_load(&parts.headers);
         connection.http.begin_body(MAX_ANSWER_BYTES);
         let body = match self.buffers.collect(body, MAX_ANSWER_BYTES).await {
@@ -299,15 +304,20 @@
         if let Some(timeout) = announced_idle_timeout(&parts.headers) {
             connection.set_idle_timeout(timeout);
         }
-        if !closes && !connection.http.sender.is_closed() {
+        let is_traced = refusal.is_none() || connection.record_refusal(&request.id);
+        if !closes && is_traced && !connection.http.sender.is_closed() {
             self.pool.release(address, connection);
         }
-        let not_executed = parts.headers.contains_key(&self.names.not_run);
-        if parts.status == StatusCode::MISDIRECTED_REQUEST {
-            return not_run(AttemptEnd::Misdirected, true, load, "wrong server".into());
+        if let Some((end, reason)) = refusal {
+            return not_run(end, true, load, reason.into());
         }
-        if not_executed {
-            return not_run(AttemptEnd::Shed, true, load, "rejected".into());
+        if !request.is_safe() && is_promise_not_run(parts.status) {
+            let reason = format!("status {} without a refusal", parts.status.as_u16());
+            return (
+                AttemptResult::MayHaveRun { reason },
+                AttemptEnd::Failed,
+                load,
+            );
         }
         if parts.status.is_success() && !self.is_authentic(&parts.headers, id_matches) {
             return broken("a success without signature".to_string());
@@ -323,6 +333,15 @@
         (AttemptResult::Answer(answer), end, load)
     }
 
+    /// Returns the end of an attempt and its reason where the answer says that the request didn't run.
+    fn refusal(&self, parts: &Parts) -> Option<(AttemptEnd, &'static str)> {
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+            return Some((AttemptEnd::Misdirected, "wrong server"));
+        }
+        let is_shed = parts.headers.contains_key(&self.names.not_run);
+        is_shed.then_some((AttemptEnd::Shed, "rejected"))
+    }
+
     /// Returns the end of an attempt whose connection broke while the backend server may have run the
     /// request. If the server has ended, that counts against the request.
     async fn broken_run(
@@ -447,6 +466,16 @@
     }
 }
 
+/// Returns whether clients take a status as a promise that the request didn't run and never will.
+fn is_promise_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns how an attempt ended for which no connection could be opened.
 fn connect_end(error: &ConnectError) -> AttemptEnd {
     match error {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -12,6 +12,7 @@
 use quick_error::quick_error;
 use tokio::net::TcpStream;
 use wire::http::HttpConnection;
+use xxhash_rust::xxh3;
 
 /// Time limit for opening a connection. It is shorter than TCP's retransmission timeout of a second
 /// or more, so that a lost packet leads to a retry.
@@ -30,6 +31,9 @@
 /// Time limit of the check whether anything listens at an address.
 const LISTENER_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Number of refused requests after which a connection is closed.
+const MAX_REFUSALS: usize = 64;
+
 /// Idle time up to which a connection is assumed to be open for a request that must not run twice.
 pub const UNSAFE_IDLE_LIMIT: Duration = Duration::from_secs(4);
 
@@ -68,6 +72,8 @@
     pub reused: bool,
     idle_since: Instant,
     idle_timeout: Duration,
+    /// Digests of the ids of requests that were refused on the connection.
+    refused: Vec<u64>,
 }
 
 impl ServerConnection {
@@ -86,9 +92,23 @@
             reused: false,
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            refused: Vec::new(),
         })
     }
 
+    /// Returns whether a request with this id was refused on the connection. Another refusal of the id
+    /// may be a late copy of the first one.
+    pub fn has_refused(&self, id: &str) -> bool {
+        self.refused.contains(&xxh3::xxh3_64(id.as_bytes()))
+    }
+
+    /// Records the refusal of a request. Returns whether the connection may carry further requests: it
+    /// remembers a bounded number of refusals.
+    pub fn record_refusal(&mut self, id: &str) -> bool {
+        self.refused.push(xxh3::xxh3_64(id.as_bytes()));
+        self.refused.len() < MAX_REFUSALS
+    }
+
     /// Sets the idle timeout from the one that the backend server announces.
     pub fn set_idle_timeout(&mut self, announced: Duration) {
         self.idle_timeout = announced.min(MAX_IDLE_TIMEOUT).mul_f64(IDLE_TIMEOUT_SHARE);
