fix(fleet): records out of range name no backend server

A report of other operators: one odd entry among those of the servers ended its readers again and again, or stopped them.

Shown: records with port 0, with addresses of no host, with 0 or 4,294,967,295 slots, and with names of any length were accepted, kept and sent to all hosts. A number of slots like that draws all requests of a service to an address at which nothing answers.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -1,8 +1,9 @@
 //! Records that backend servers announce.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
 use crate::hint::ServerIncarnation;
@@ -44,7 +45,60 @@
     pub cold: Duration,
 }
 
+quick_error! {
+    /// Reason why a record names no backend server.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum RecordError {
+        /// A text is longer than [`ServerRecord::MAX_TEXT_BYTES`].
+        LongText(field: &'static str, bytes: usize) {
+            display("{field}: {bytes} bytes are more than {}", ServerRecord::MAX_TEXT_BYTES)
+        }
+        /// No server can be reached at the address.
+        Address(address: SocketAddr) {
+            display("address: {address} is no address of a server")
+        }
+        /// The number of slots is 0 or over [`ServerRecord::MAX_SLOTS`].
+        Slots(slots: u32) {
+            display("slots: {slots} is not from 1 to {}", ServerRecord::MAX_SLOTS)
+        }
+    }
+}
+
 impl ServerRecord {
+    /// Maximum length of the id and of each name, in bytes.
+    pub const MAX_TEXT_BYTES: usize = 256;
+
+    /// Maximum number of slots.
+    pub const MAX_SLOTS: u32 = 65_535;
+
+    /// Checks that the record can be that of a backend server.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a text is too long, or if the address or the number of slots is out of range.
+    pub fn check(&self) -> Result<(), RecordError> {
+        let texts = [
+            ("id", &self.id),
+            ("service", &self.service),
+            ("zone", &self.zone),
+            ("version", &self.version),
+        ];
+        for (field, text) in texts {
+            if text.len() > Self::MAX_TEXT_BYTES {
+                return Err(RecordError::LongText(field, text.len()));
+            }
+        }
+        let ip = self.address.ip();
+        let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+            return Err(RecordError::Address(self.address));
+        }
+        if !(1..=Self::MAX_SLOTS).contains(&self.slots) {
+            return Err(RecordError::Slots(self.slots));
+        }
+        Ok(())
+    }
+
     /// Returns the id and the start time.
     pub fn incarnation(&self) -> ServerIncarnation {
         ServerIncarnation {
