fix(gateway): a stopping host refuses at once what it can't finish

Change: once the listener is closed, a request whose deadline lies beyond the end of the shutdown is refused as not run, with retry-after 0.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -66,6 +66,9 @@
 /// hosts may have a newer one.
 const UNROUTABLE_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Retry-after time of a request that a stopping host doesn't take; other hosts take it at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
+
 /// Retry-after time of a request whose body there is no room for.
 const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -94,6 +97,8 @@
     phase: watch::Sender<ServerPhase>,
     /// Number of open connections.
     connections: AtomicUsize,
+    /// Time from which a shutdown answers all requests itself; unset before the shutdown.
+    finishes_at: OnceLock<Instant>,
 }
 
 impl ClientServer {
@@ -103,6 +108,7 @@
             forwarder,
             phase: watch::Sender::new(ServerPhase::Serving),
             connections: AtomicUsize::new(0),
+            finishes_at: OnceLock::new(),
         })
     }
 
@@ -140,13 +146,14 @@
     /// over, it answers the requests that are left itself.
     pub async fn shutdown(&self, timeout: Duration) {
         let started_at = Instant::now();
+        let finishes_at = started_at + timeout.mul_f64(FINISH_SHARE);
+        let finishes_at = *self.finishes_at.get_or_init(|| finishes_at);
         self.phase.send_replace(ServerPhase::Draining);
         task::sleep(timeout.mul_f64(DRAIN_SHARE)).await;
         self.phase.send_replace(ServerPhase::Stopping);
         task::sleep(TRANSIT_GRACE.min(timeout.mul_f64(MAX_GRACE_SHARE))).await;
         self.phase.send_replace(ServerPhase::ClosingIdle);
-        self.wait_closed(started_at + timeout.mul_f64(FINISH_SHARE))
-            .await;
+        self.wait_closed(finishes_at).await;
         self.phase.send_replace(ServerPhase::Finishing);
         self.wait_closed(started_at + timeout.mul_f64(MAX_SHUTDOWN_SHARE))
             .await;
@@ -302,6 +309,13 @@
         Ok(self.forwarder.forward(&request).await)
     }
 
+    /// Returns whether a request came after the listener was closed and can take longer than the host
+    /// will run. Its client still has time to ask another host.
+    fn is_too_late(&self, deadline: Instant) -> bool {
+        let is_stopping = *self.phase.borrow() >= ServerPhase::Stopping;
+        is_stopping && self.finishes_at.get().is_some_and(|at| *at < deadline)
+    }
+
     /// Checks a request, finds its route and service, and reads its body.
     async fn read_request(
         &self,
@@ -343,6 +357,12 @@
             .and_then(|id| id.to_str().ok());
         let id = id.unwrap_or_default().to_string();
         let deadline = request::deadline(names, &headers, route, now);
+        if self.is_too_late(deadline) {
+            return Err(HostAnswer::NotRun {
+                cause: "this host stops before the request's deadline".to_string(),
+                retry_after: STOPPING_RETRY_AFTER,
+            });
+        }
         let object = request::object_digest(names, &headers, route);
         let body = match body {
             Some(body) => {
