fix(director): a server that announces itself keeps its address and id

Cause: a later start time alone replaced the record at an address, or under an id, and ended the former incarnation; a leave with a start time beyond any clock ended an id for good.

Weighed and left: 421 of the address as evidence; taking accepted claims back.

Change: the replica that gets the call passes over claims to what a server holds that announced itself in the last interval and 0.7 s, claims of services that no configuration names, and start times over 60 s ahead; ids of leaves are bounded in length.

--- a/crates/director/src/call.rs
+++ b/crates/director/src/call.rs
@@ -79,6 +79,9 @@
     Propose,
     /// Send it to another replica: the state of this one may be stale.
     Stale,
+    /// Nothing for now: a server that still announces itself holds the address or the id, or the record
+    /// can't be that of a server.
+    Contested,
 }
 
 /// An action that the task of the core performs, in the order in which the core returns them.
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -21,6 +21,7 @@
 
 use crate::address;
 use crate::call::{AnnounceDecision, CoreAction, CoreCall, DirectorDump, HintSummary};
+use crate::claims;
 use crate::follow::FollowQueue;
 use crate::hints;
 use crate::liveness;
@@ -466,6 +467,9 @@
         if !confirmed {
             return AnnounceDecision::Stale;
         }
+        if self.is_contested(now, record) {
+            return AnnounceDecision::Contested;
+        }
         self.observer
             .liveness
             .record_server(now, &record.id, record.born, record.cold);
@@ -475,6 +479,35 @@
         AnnounceDecision::Unchanged
     }
 
+    /// Returns whether an announcement must not take effect for now: its start time can't be, or another
+    /// server keeps its address or its id.
+    fn is_contested(&self, now: Instant, record: &ServerRecord) -> bool {
+        let state = self.replicated.state();
+        if claims::is_ahead(SystemTime::now(), record.born) {
+            log::warn!(target: "claims", "announcement passed over, as its start time is ahead; server={} born={}", record.id, record.born);
+            return true;
+        }
+        if !state.would_change(record) {
+            return false;
+        }
+        let limit = self.settings.announcement_interval + claims::ANNOUNCEMENT_MARGIN;
+        let is_announcing = |server: &ServerRecord| {
+            let announced_at = self.announced_at.get(&server.id).copied();
+            let seen_at = self.observer.liveness.last_seen(&server.id, server.born);
+            let latest = announced_at.max(seen_at);
+            latest.is_some_and(|latest| now < latest + limit)
+        };
+        let incumbent = claims::incumbent(state, record, is_announcing);
+        if let Some(incumbent) = incumbent {
+            log::warn!(
+                target: "claims",
+                "announcement passed over, as another server holds its address or id; server={} born={} service={} address={} holder={} holder_born={}",
+                record.id, record.born, record.service, record.address, incumbent.id, incumbent.born,
+            );
+        }
+        incumbent.is_some()
+    }
+
     /// Records the reports in a follow request and holds the request until it can be answered.
     fn hold_follow(
         &mut self,
--- a/crates/director/src/handle.rs
+++ b/crates/director/src/handle.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use async_std::{future, task};
 use fleet::command::{CommandOutcome, FleetCommand};
+use fleet::ids;
 use fleet::server::ServerRecord;
 use quick_error::quick_error;
 use quorum::ids::ReplicaId;
@@ -13,6 +14,7 @@
 
 use crate::address;
 use crate::call::{AnnounceDecision, CoreCall, DirectorDump};
+use crate::claims;
 use crate::hosts::HostList;
 use crate::mesh::MeshLinks;
 use crate::message::{MeshReply, MeshRequest, ProposeOutcome, ReadOutcome};
@@ -190,8 +192,25 @@
             Some(AnnounceDecision::Propose) => {
                 self.submit(FleetCommand::Announce(record), limit).await
             }
-            Some(AnnounceDecision::Stale) | None => SubmitOutcome::Unknown,
+            Some(AnnounceDecision::Stale | AnnounceDecision::Contested) | None => {
+                SubmitOutcome::Unknown
+            }
+        }
+    }
+
+    /// Removes a backend server that leaves. `born` is the start time of its incarnation, or `None` for the
+    /// current one; a start time that can't be is not acknowledged.
+    pub async fn leave(
+        &self,
+        id: ids::ServerId,
+        born: Option<ids::StartTime>,
+        limit: Duration,
+    ) -> SubmitOutcome {
+        if born.is_some_and(|born| claims::is_ahead(SystemTime::now(), born)) {
+            log::warn!(target: "claims", "leave call not acknowledged, as its start time is ahead; server={id} born={born:?}");
+            return SubmitOutcome::Unknown;
         }
+        self.submit(FleetCommand::Leave { id, born }, limit).await
     }
 
     /// Replaces the seeds of the replica.
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -31,6 +31,7 @@
 
 pub mod address;
 pub mod call;
+mod claims;
 pub mod core;
 pub mod daemon;
 pub mod directory;
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -64,6 +64,18 @@
     }
 }
 
+/// Checks the length of an id or a name; `field` names it in the error.
+///
+/// # Errors
+///
+/// Fails if the text is too long.
+pub fn check_text(field: &'static str, text: &str) -> Result<(), RecordError> {
+    if text.len() > ServerRecord::MAX_TEXT_BYTES {
+        return Err(RecordError::LongText(field, text.len()));
+    }
+    Ok(())
+}
+
 impl ServerRecord {
     /// Maximum length of the id and of each name, in bytes.
     pub const MAX_TEXT_BYTES: usize = 256;
@@ -84,9 +96,7 @@
             ("version", &self.version),
         ];
         for (field, text) in texts {
-            if text.len() > Self::MAX_TEXT_BYTES {
-                return Err(RecordError::LongText(field, text.len()));
-            }
+            check_text(field, text)?;
         }
         let ip = self.address.ip();
         let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
