fix(gateway): the budget of bodies counts what their buffers occupy

Cause: the budget counted lengths. Buffers grew by doubling, up to three times the length while they were copied; answers were copied as a whole.

Change: capacities count; a body with a length gets its room before it is read, or is refused at once; large answers are written without a copy.

--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -12,6 +12,9 @@
 /// large bodies can't take the room of small ones.
 const SMALL_BODY_BYTES: usize = 256 << 10;
 
+/// Smallest buffer of a body without a length.
+const MIN_CAPACITY: usize = 4 << 10;
+
 /// Share of the memory of the process for the first bytes of all bodies.
 const SMALL_SHARE: f64 = 0.125;
 
@@ -39,17 +42,19 @@
     }
 }
 
-/// Limits the bytes of the bodies that are buffered at the same time.
+/// Limits the memory of the bodies that are buffered at the same time.
 #[derive(Debug, Clone)]
 pub struct BufferBudget {
     small: Arc<Semaphore>,
     large: Arc<Semaphore>,
 }
 
-/// A buffered body; its bytes return to the budget when it is dropped.
+/// A buffered body; its memory returns to the budget when it is dropped.
+#[derive(Default)]
 struct BufferedBody {
     bytes: Vec<u8>,
-    permits: Vec<OwnedSemaphorePermit>,
+    /// Permits for the capacity of `bytes`.
+    _permits: Vec<OwnedSemaphorePermit>,
 }
 
 impl AsRef<[u8]> for BufferedBody {
@@ -71,6 +76,9 @@
     /// Buffers a body of at most `max_bytes` bytes. Its room is free again when the last clone of the
     /// returned bytes is dropped.
     ///
+    /// A body with a length gets all its room before any of it is read, so that one for which there is no
+    /// room is refused at once.
+    ///
     /// # Errors
     ///
     /// Fails if the body is too large, if there is no room for it, or if its connection fails.
@@ -80,13 +88,12 @@
         max_bytes: usize,
     ) -> Result<Bytes, BufferError> {
         let announced = body.size_hint().lower();
-        if announced > max_bytes as u64 {
+        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+        if announced > max_bytes {
             return Err(BufferError::TooLarge);
         }
-        let mut buffered = BufferedBody {
-            bytes: Vec::new(),
-            permits: Vec::new(),
-        };
+        let mut buffered = BufferedBody::default();
+        self.grow(&mut buffered, announced)?;
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame?.into_data() else {
                 continue;
@@ -95,7 +102,11 @@
             if length > max_bytes {
                 return Err(BufferError::TooLarge);
             }
-            self.reserve(&mut buffered, data.len())?;
+            if length > buffered.bytes.capacity() {
+                let doubled = buffered.bytes.capacity().saturating_mul(2);
+                let capacity = doubled.max(MIN_CAPACITY).min(max_bytes).max(length);
+                self.grow(&mut buffered, capacity)?;
+            }
             buffered.bytes.extend_from_slice(&data);
         }
         if buffered.bytes.is_empty() {
@@ -104,27 +115,29 @@
         Ok(Bytes::from_owner(buffered))
     }
 
-    /// Takes room for the next `length` bytes of a body.
-    fn reserve(&self, body: &mut BufferedBody, length: usize) -> Result<(), BufferError> {
-        let small = SMALL_BODY_BYTES
-            .saturating_sub(body.bytes.len())
-            .min(length);
-        for (room, part) in [(&self.small, small), (&self.large, length - small)] {
+    /// Moves a body to a buffer of the given capacity. While it is copied, both buffers take room.
+    fn grow(&self, body: &mut BufferedBody, capacity: usize) -> Result<(), BufferError> {
+        let mut grown = BufferedBody {
+            _permits: self.reserve(capacity)?,
+            bytes: Vec::with_capacity(capacity),
+        };
+        grown.bytes.extend_from_slice(&body.bytes);
+        *body = grown;
+        Ok(())
+    }
+
+    /// Takes room for a buffer.
+    fn reserve(&self, capacity: usize) -> Result<Vec<OwnedSemaphorePermit>, BufferError> {
+        let small = capacity.min(SMALL_BODY_BYTES);
+        let mut permits = Vec::new();
+        for (room, part) in [(&self.small, small), (&self.large, capacity - small)] {
             if part == 0 {
                 continue;
             }
             let part = u32::try_from(part).map_err(|_| BufferError::TooLarge)?;
             let permit = Arc::clone(room).try_acquire_many_owned(part);
-            let permit = permit.map_err(|_| BufferError::NoRoom)?;
-            match body
-                .permits
-                .iter_mut()
-                .find(|held| Arc::ptr_eq(held.semaphore(), room))
-            {
-                Some(held) => held.merge(permit),
-                None => body.permits.push(permit),
-            }
+            permits.push(permit.map_err(|_| BufferError::NoRoom)?);
         }
-        Ok(())
+        Ok(permits)
     }
 }
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -30,6 +30,9 @@
 /// Maximum number of headers of a request; one with more is left to hyper.
 const MAX_HEADERS: usize = 100;
 
+/// Largest body that is copied behind the head of its answer, so that both are sent at once.
+const MAX_COPIED_BODY_BYTES: usize = 16 << 10;
+
 /// Free bytes in the buffer before each read, at least.
 const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -234,7 +237,8 @@
         Ok(body) => body.to_bytes(),
         Err(never) => match never {},
     };
-    let mut bytes = Vec::with_capacity(256 + body.len());
+    let is_small = body.len() <= MAX_COPIED_BODY_BYTES;
+    let mut bytes = Vec::with_capacity(256 + if is_small { body.len() } else { 0 });
     let reason = parts.status.canonical_reason().unwrap_or("Other");
     let line = format!("HTTP/1.1 {} {reason}\r\n", parts.status.as_u16());
     bytes.extend_from_slice(line.as_bytes());
@@ -255,8 +259,12 @@
         append_header(&mut bytes, b"connection", b"close");
     }
     bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(&body);
-    stream.write_all(&bytes).await
+    if is_small {
+        bytes.extend_from_slice(&body);
+        return stream.write_all(&bytes).await;
+    }
+    stream.write_all(&bytes).await?;
+    stream.write_all(&body).await
 }
 
 fn append_header(bytes: &mut Vec<u8>, name: &[u8], value: &[u8]) {
