test(balance): a host that stood still refuses all requests; known red

The host then expected each answer just after the deadline and refused all requests of the service for good, as only answers change what it expects.

--- /dev/null
+++ b/crates/balance/tests/slow_past.rs
@@ -0,0 +1,65 @@
+//! Latencies of the past that don't tell what servers take now.
+#![allow(
+    missing_docs,
+    unreachable_pub,
+    clippy::unwrap_used,
+    clippy::expect_used
+)]
+
+mod simulation;
+
+use std::time::{Duration, Instant};
+
+use balance::balancer::LoadBalancer;
+use balance::query::{AttemptReport, ChosenServer};
+use balance::server::AttemptEnd;
+use simulation::{query, record, settings, view};
+
+/// Time after the last fault within which requests are served again.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
+const OBJECT: Option<u64> = Some(17);
+
+fn finish_after(
+    balancer: &mut LoadBalancer,
+    now: Instant,
+    chosen: &ChosenServer,
+    end: AttemptEnd,
+    took: f64,
+) {
+    let report = AttemptReport {
+        end,
+        took: Duration::from_secs_f64(took),
+        load: None,
+        object: OBJECT,
+        request: 0,
+        forecast: chosen.forecast,
+    };
+    balancer.finish(now, chosen.key, report);
+}
+
+/// A host stood still while an answer came, which then seems to have taken ten seconds. It expects each answer after
+/// the deadline, refuses all requests, and never learns that the servers are as fast as before.
+#[test]
+fn a_host_that_stood_still_sends_requests_again() {
+    const PAUSE_SECONDS: f64 = 10.5;
+    const USUAL_SECONDS: f64 = 0.05;
+    let mut now = Instant::now();
+    let mut balancer = LoadBalancer::new(settings("host-0", "east-a", &["east-a"]));
+    let servers = ["s1", "s2", "s3"].map(|id| record(id, "east-a", 8));
+    balancer.set_view(now, &view(&servers, 10.0));
+    balancer.set_hosts(now, vec![("host-0".to_string(), "east-a".to_string())]);
+    let times = [USUAL_SECONDS; 40].into_iter().chain([PAUSE_SECONDS; 3]);
+    for took in times {
+        let Ok(chosen) = balancer.choose(now, &query(OBJECT)) else {
+            break;
+        };
+        now += Duration::from_secs_f64(took);
+        finish_after(&mut balancer, now, &chosen, AttemptEnd::Answered, took);
+        now += Duration::from_millis(50);
+    }
+    let until = now + RECOVERY_LIMIT;
+    while balancer.choose(now, &query(OBJECT)).is_err() {
+        now += Duration::from_millis(200);
+        assert!(now < until, "no server gets a request");
+    }
+}
