review: case 10, an entry of another writer keeps an address

Adds a script in which another writer has announced the addresses at which the endpoints of a service start, for a service that no configuration names. The endpoints' heartbeats are answered 503 for as long as the other writer goes on, and no request is served.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -41,6 +41,7 @@
         7 => cases::forgotten_leave,
         8 => cases::late_leave,
         9 => cases::other_writer,
+        10 => cases::held_address,
         _ => return Err(std::io::Error::other("there is no such case")),
     };
     let root = std::env::current_dir()?;
