fix(fleet): the leave of a server that was removed as silent is remembered

Cause: the list was all that the state knew of servers. One that was removed as silent left no trace, so its leave named no incarnation and recorded nothing, and a heartbeat that a partition had held up listed it again.

Change: the committed state keeps the latest call of each server, with start time, number and whether it drains, also after its removal. Leaves end the latest known incarnation, calls that are out of date change nothing, draining is final across a removal, and a late announcement of an earlier incarnation isn't listed after a later one was removed. Why this works: all four follow from the order of a server's own calls, which no delay changes.

--- a/crates/director/src/call.rs
+++ b/crates/director/src/call.rs
@@ -6,7 +6,7 @@
 use fleet::command::FleetCommand;
 use fleet::hint::{HintKind, ServerHint};
 use fleet::ids;
-use fleet::server::ServerRecord;
+use fleet::server::ServerAnnouncement;
 use identity::key::KeySalt;
 use quorum::event::PersistWrite;
 use quorum::ids::ReplicaId;
@@ -51,8 +51,8 @@
     KeySalt(oneshot::Sender<Option<KeySalt>>),
     /// Handles the announcement of a backend server.
     Announce {
-        /// The announced record.
-        record: Box<ServerRecord>,
+        /// The announcement.
+        announcement: Box<ServerAnnouncement>,
         /// Receives what to do with the announcement.
         reply: oneshot::Sender<AnnounceDecision>,
     },
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -10,7 +10,7 @@
 use fleet::command::FleetCommand;
 use fleet::ids;
 use fleet::membership::AnnouncementVerdict;
-use fleet::server::ServerRecord;
+use fleet::server::{ServerAnnouncement, ServerRecord};
 use quorum::config::QuorumConfig;
 use quorum::entry::{EntryPayload, LogEntry, LogSnapshot, RecoveredState};
 use quorum::event::{AnswerOutcome, Effect, Event, Role};
@@ -224,8 +224,11 @@
                 let access = self.replicated.state().access();
                 let _ = reply.send(access.requires_key.then_some(access.salt));
             }
-            CoreCall::Announce { record, reply } => {
-                let _ = reply.send(self.handle_announcement(now, &record));
+            CoreCall::Announce {
+                announcement,
+                reply,
+            } => {
+                let _ = reply.send(self.handle_announcement(now, &announcement));
             }
             CoreCall::Follow { request, reply } => self.hold_follow(now, *request, reply),
             CoreCall::Hosts(reply) => {
@@ -482,7 +485,12 @@
     }
 
     /// Records an announcement where the state is current, and returns what to do with it.
-    fn handle_announcement(&mut self, now: Instant, record: &ServerRecord) -> AnnounceDecision {
+    fn handle_announcement(
+        &mut self,
+        now: Instant,
+        announcement: &ServerAnnouncement,
+    ) -> AnnounceDecision {
+        let record = &announcement.record;
         if !self.is_confirmed(now) {
             return AnnounceDecision::Stale;
         }
@@ -491,7 +499,7 @@
             return AnnounceDecision::Contested;
         }
         let state = self.replicated.state();
-        let verdict = state.judge(record, |holder| self.is_announcing(now, holder));
+        let verdict = state.judge(announcement, |holder| self.is_announcing(now, holder));
         if let AnnouncementVerdict::Contested(holder) = verdict {
             log::info!(
                 target: "claims",
@@ -506,6 +514,9 @@
         match verdict {
             AnnouncementVerdict::Listed(_) => AnnounceDecision::Propose,
             AnnouncementVerdict::Unchanged | AnnouncementVerdict::Contested(_) => {
+                if self.replicated.state().server(&record.id).is_none() {
+                    log::info!(target: "claims", "announcement passed over, as it is late or its server has left; server={} born={} sequence={}", record.id, record.born, announcement.sequence);
+                }
                 AnnounceDecision::Unchanged
             }
         }
--- a/crates/director/src/handle.rs
+++ b/crates/director/src/handle.rs
@@ -7,7 +7,7 @@
 use async_std::{future, task};
 use fleet::command::{CommandOutcome, FleetCommand};
 use fleet::ids;
-use fleet::server::ServerRecord;
+use fleet::server::ServerAnnouncement;
 use identity::key::KeySalt;
 use quick_error::quick_error;
 use quorum::ids::ReplicaId;
@@ -190,15 +190,20 @@
 
     /// Records the announcement of a backend server, and submits it as a command where it changes
     /// the state. With [`SubmitOutcome::Done`], any change of the state is committed.
-    pub async fn announce(&self, record: ServerRecord, limit: Duration) -> SubmitOutcome {
+    pub async fn announce(
+        &self,
+        announcement: ServerAnnouncement,
+        limit: Duration,
+    ) -> SubmitOutcome {
         let call = |reply| CoreCall::Announce {
-            record: Box::new(record.clone()),
+            announcement: Box::new(announcement.clone()),
             reply,
         };
         match self.core.ask(call).await {
             Some(AnnounceDecision::Unchanged) => SubmitOutcome::Done(CommandOutcome::Unchanged),
             Some(AnnounceDecision::Propose) => {
-                self.submit(FleetCommand::Announce(record), limit).await
+                self.submit(FleetCommand::Announce(announcement), limit)
+                    .await
             }
             Some(AnnounceDecision::Stale | AnnounceDecision::Contested) | None => {
                 SubmitOutcome::Unknown
--- a/crates/director/tests/limits.rs
+++ b/crates/director/tests/limits.rs
@@ -29,7 +29,7 @@
     for (index, id) in (1..).zip(ids) {
         let mut record = server(id, 1, Duration::ZERO);
         record.address.set_port(index as u16);
-        state.apply(index, FleetCommand::Announce(record));
+        state.apply(index, FleetCommand::Announce(record.into()));
     }
     state
 }
--- a/crates/director/tests/liveness.rs
+++ b/crates/director/tests/liveness.rs
@@ -17,15 +17,14 @@
 /// Announces a server as a replica does, through the log where the state changes.
 fn announce(replica: &mut OnlyReplica, record: &ServerRecord) -> AnnounceDecision {
     let (reply, mut answer) = oneshot::channel();
-    let record = Box::new(record.clone());
     let call = CoreCall::Announce {
-        record: record.clone(),
+        announcement: Box::new(record.clone().into()),
         reply,
     };
     replica.core.handle_call(replica.now, call);
     let decision = answer.try_recv().unwrap();
     if decision == AnnounceDecision::Propose {
-        replica.announce(*record);
+        replica.announce(record.clone());
     }
     decision
 }
--- a/crates/director/tests/many.rs
+++ b/crates/director/tests/many.rs
@@ -48,7 +48,7 @@
 fn replica_with_servers() -> OnlyReplica {
     let mut replica = OnlyReplica::start();
     replica.advance(Duration::from_secs(5));
-    replica.execute((0..SERVERS).map(|number| FleetCommand::Announce(server(number))));
+    replica.execute((0..SERVERS).map(|number| FleetCommand::Announce(server(number).into())));
     replica
 }
 
--- a/crates/director/tests/outages.rs
+++ b/crates/director/tests/outages.rs
@@ -146,7 +146,7 @@
 fn state_with_server() -> FleetState {
     let record = support::server("s1", 1, Duration::ZERO);
     let mut state = FleetState::new();
-    state.apply(1, FleetCommand::Announce(record));
+    state.apply(1, FleetCommand::Announce(record.into()));
     state
 }
 
--- a/crates/director/tests/support/mod.rs
+++ b/crates/director/tests/support/mod.rs
@@ -126,7 +126,7 @@
     }
 
     pub fn announce(&mut self, record: ServerRecord) {
-        self.execute([FleetCommand::Announce(record)]);
+        self.execute([FleetCommand::Announce(record.into())]);
     }
 
     /// Proposes commands at once, and waits until all are applied.
--- a/crates/director/tests/suspects.rs
+++ b/crates/director/tests/suspects.rs
@@ -3,15 +3,18 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use director::call::CoreCall;
 use director::message::{FollowReply, FollowRequest};
+use fleet::access::AccessPolicy;
 use fleet::change::FleetUpdate;
 use fleet::command::FleetCommand;
 use fleet::ids;
 use fleet::suspect::{RunEvidence, RunNotice};
 use quorum::entry::RecoveredState;
+use rstest::rstest;
 use support::{follow_request, server, OnlyReplica};
 use tokio::sync::oneshot;
 
@@ -93,14 +96,20 @@
     assert!(!is_quarantined(&report(&mut replica, Vec::new())));
 }
 
-/// A version without quarantines wrote the snapshot, which ends before them.
-#[test]
-fn a_snapshot_of_a_version_without_quarantines_is_read() {
+/// Earlier versions wrote the snapshot, which ends before the fields that were added since.
+#[rstest]
+#[case::quarantines(&[quarantines(), access(), calls()])]
+#[case::access(&[access(), calls()])]
+#[case::calls(&[calls()])]
+fn a_snapshot_of_a_version_without_later_fields_is_read(#[case] later_fields: &[Vec<u8>]) {
     let mut state = fleet::state::FleetState::new();
     let record = server("s1", 1, Duration::ZERO);
-    state.apply(1, FleetCommand::Announce(record));
+    state.apply(1, FleetCommand::Announce(record.into()));
     let mut data = postcard::to_allocvec(&state).unwrap();
-    assert_eq!(data.pop(), Some(0));
+    for field in later_fields.iter().rev() {
+        assert!(data.ends_with(field), "{data:?} doesn't end with {field:?}");
+        data.truncate(data.len() - field.len());
+    }
     let mut disk = RecoveredState {
         incarnation: 7,
         blank: true,
@@ -114,3 +123,16 @@
     };
     assert!(view.servers.contains_key("s1"));
 }
+
+fn quarantines() -> Vec<u8> {
+    vec![0]
+}
+
+fn access() -> Vec<u8> {
+    postcard::to_allocvec(&AccessPolicy::default()).unwrap()
+}
+
+/// Returns the encoded latest call of the only server: its start time, number, whether it drains, and log index.
+fn calls() -> Vec<u8> {
+    postcard::to_allocvec(&BTreeMap::from([("s1", (1_u64, 0_u64, false, 1_u64))])).unwrap()
+}
--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -7,7 +7,7 @@
 use crate::access::AccessPolicy;
 use crate::hint::ServerIncarnation;
 use crate::ids;
-use crate::server::ServerRecord;
+use crate::server::ServerAnnouncement;
 use crate::site::SiteConfig;
 
 /// A command in the replicated log.
@@ -16,7 +16,7 @@
     /// Replaces the configuration in force, if the new one names it as its base.
     Replace(SiteReplacement),
     /// Announces a backend server or a change of its record.
-    Announce(ServerRecord),
+    Announce(ServerAnnouncement),
     /// Removes a backend server. Late announcements of the incarnation that left, or of an earlier
     /// one, are refused.
     Leave {
--- a/crates/fleet/src/ids.rs
+++ b/crates/fleet/src/ids.rs
@@ -19,6 +19,9 @@
 /// an incarnation: one run of the server, from its start to its end.
 pub type StartTime = u64;
 
+/// Number of a call of a backend server, which increases within an incarnation.
+pub type CallSequence = u64;
+
 /// Number that an operator gives a configuration.
 pub type SiteVersion = u64;
 
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -5,17 +5,34 @@
 //! services, whichever came first or started later. Before the first configuration all services count
 //! as named.
 
+use serde::{Deserialize, Serialize};
+
 use crate::change::FleetChange;
 use crate::command::CommandOutcome;
 use crate::hint::ServerIncarnation;
 use crate::ids;
-use crate::server::{ServerRecord, ServerState};
+use crate::server::{ServerAnnouncement, ServerRecord, ServerState};
 use crate::state::FleetState;
 
 /// Maximum number of ended incarnations that are remembered, so that their late announcements are
 /// refused.
 const MAX_ENDED_INCARNATIONS: usize = 4_096;
 
+/// Maximum number of servers that aren't listed whose latest call is remembered.
+const MAX_UNLISTED_CALLS: usize = 4_096;
+
+/// Latest committed call of a backend server. It outlasts the server's record, so that calls that arrive late
+/// are told from those that follow.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CallTrace {
+    born: ids::StartTime,
+    sequence: ids::CallSequence,
+    /// Whether the incarnation has announced that it drains, which is final.
+    is_draining: bool,
+    /// Log index of the call or of the removal of the server.
+    at: ids::Revision,
+}
+
 /// What an announcement does to the state.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AnnouncementVerdict {
@@ -32,10 +49,11 @@
     /// the record still announces itself.
     pub fn judge(
         &self,
-        record: &ServerRecord,
+        announcement: &ServerAnnouncement,
         is_announcing: impl Fn(&ServerRecord) -> bool,
     ) -> AnnouncementVerdict {
-        let Some(merged) = self.merge(record) else {
+        let record = &announcement.record;
+        let Some(merged) = self.merge(announcement) else {
             return AnnouncementVerdict::Unchanged;
         };
         let is_named = self.is_named(&record.service);
@@ -80,20 +98,44 @@
         })
     }
 
-    /// Returns the record of a server after an announcement; `None` where the incarnation has ended, or the
-    /// announcement repeats the record.
-    fn merge(&self, record: &ServerRecord) -> Option<ServerRecord> {
+    /// Returns the latest call of a server, listed or not. Snapshots of earlier versions have no calls.
+    fn latest_call(&self, id: &str) -> Option<CallTrace> {
+        let listed = || {
+            let known = self.servers.get(id)?;
+            Some(CallTrace {
+                born: known.born,
+                sequence: 0,
+                is_draining: known.state == ServerState::Draining,
+                at: 0,
+            })
+        };
+        self.calls.get(id).cloned().or_else(listed)
+    }
+
+    /// Returns the record of a server after an announcement; `None` where the incarnation has ended, the call
+    /// is late, or it repeats the record.
+    fn merge(&self, announcement: &ServerAnnouncement) -> Option<ServerRecord> {
+        let record = &announcement.record;
         let ended = self.ended.get(&record.id);
         if ended.is_some_and(|(born, _)| !record.started_after(*born)) {
             return None;
         }
-        let mut merged = record.clone();
         let known = self.servers.get(&record.id);
-        if let Some(known) = known.filter(|known| known.born == record.born) {
-            // Draining is final within one incarnation: a late announcement doesn't undo it.
-            if known.state == ServerState::Draining {
-                merged.state = ServerState::Draining;
+        let mut merged = record.clone();
+        if let Some(latest) = self.latest_call(&record.id) {
+            if known.is_none() && latest.born > record.born {
+                return None;
+            }
+            if latest.born == record.born {
+                if announcement.is_before(latest.sequence) {
+                    return None;
+                }
+                if latest.is_draining {
+                    merged.state = ServerState::Draining;
+                }
             }
+        }
+        if let Some(known) = known.filter(|known| known.born == record.born) {
             // A different remaining cold time alone is no change.
             merged.cold = known.cold;
             if *known == merged {
@@ -108,9 +150,9 @@
     pub(crate) fn announce(
         &mut self,
         revision: ids::Revision,
-        record: &ServerRecord,
+        announcement: &ServerAnnouncement,
     ) -> (CommandOutcome, Vec<FleetChange>) {
-        let merged = match self.judge(record, |_| false) {
+        let merged = match self.judge(announcement, |_| false) {
             AnnouncementVerdict::Listed(merged) => *merged,
             AnnouncementVerdict::Unchanged => return (CommandOutcome::Unchanged, Vec::new()),
             AnnouncementVerdict::Contested(_) => return (CommandOutcome::Contested, Vec::new()),
@@ -124,36 +166,66 @@
         for ServerIncarnation { id, born } in replaced {
             // A late announcement of the replaced server may come after its successor has left.
             self.record_departure(revision, &id, born);
-            self.servers.remove(&id);
-            changes.push(FleetChange::ServerGone(id));
+            changes.extend(self.unlist(revision, &id));
         }
         self.ended.remove(&merged.id);
+        let call = CallTrace {
+            born: merged.born,
+            sequence: announcement.sequence,
+            is_draining: merged.state == ServerState::Draining,
+            at: revision,
+        };
+        self.calls.insert(merged.id.clone(), call);
         changes.push(FleetChange::Server(merged.clone()));
         self.servers.insert(merged.id.clone(), merged);
         (CommandOutcome::Accepted, changes)
     }
 
-    /// Applies the leave call of an incarnation; without a start time, of the current one.
+    /// Applies the leave call of an incarnation; without a start time, of the latest one that is known, which
+    /// may have been removed as silent before.
     pub(crate) fn leave(
         &mut self,
         revision: ids::Revision,
         id: &str,
         born: Option<ids::StartTime>,
     ) -> (CommandOutcome, Vec<FleetChange>) {
-        let Some(known) = self.servers.get(id) else {
-            if let Some(born) = born {
-                self.record_departure(revision, id, born);
-            }
-            return (CommandOutcome::Unchanged, Vec::new());
-        };
-        if born.is_some_and(|born| known.started_after(born)) {
+        let listed = self.servers.get(id);
+        if listed.is_some_and(|known| born.is_some_and(|born| known.started_after(born))) {
             return (CommandOutcome::Unchanged, Vec::new());
         }
-        let born = born.unwrap_or(known.born);
-        self.record_departure(revision, id, born);
-        self.servers.remove(id);
-        let change = FleetChange::ServerGone(id.to_string());
-        (CommandOutcome::Accepted, vec![change])
+        let latest = || self.latest_call(id).map(|latest| latest.born);
+        if let Some(born) = born.or_else(latest) {
+            self.record_departure(revision, id, born);
+        }
+        match self.unlist(revision, id) {
+            Some(change) => (CommandOutcome::Accepted, vec![change]),
+            None => (CommandOutcome::Unchanged, Vec::new()),
+        }
+    }
+
+    /// Removes a server from the list; its latest call stays known, unless no configuration names its service.
+    fn unlist(&mut self, revision: ids::Revision, id: &str) -> Option<FleetChange> {
+        let call = self.latest_call(id);
+        let server = self.servers.remove(id)?;
+        if self.is_named(&server.service) {
+            let call = call.map(|call| CallTrace {
+                at: revision,
+                ..call
+            });
+            self.calls.extend(call.map(|call| (id.to_string(), call)));
+        } else {
+            self.calls.remove(id);
+        }
+        while self.calls.len() > self.servers.len() + MAX_UNLISTED_CALLS {
+            let unlisted = self.calls.iter();
+            let unlisted = unlisted.filter(|(id, _)| !self.servers.contains_key(*id));
+            let Some((oldest, _)) = unlisted.min_by_key(|(_, call)| call.at) else {
+                break;
+            };
+            let oldest = oldest.clone();
+            self.calls.remove(&oldest);
+        }
+        Some(FleetChange::ServerGone(id.to_string()))
     }
 
     fn record_departure(&mut self, revision: ids::Revision, id: &str, born: ids::StartTime) {
@@ -174,17 +246,14 @@
     /// Removes incarnations that have stopped announcing themselves.
     pub(crate) fn expire(
         &mut self,
+        revision: ids::Revision,
         incarnations: Vec<(ids::ServerId, ids::StartTime)>,
     ) -> (CommandOutcome, Vec<FleetChange>) {
         let mut changes = Vec::new();
         for (id, born) in incarnations {
-            let is_current = self
-                .servers
-                .get(&id)
-                .is_some_and(|known| known.born == born);
-            if is_current {
-                self.servers.remove(&id);
-                changes.push(FleetChange::ServerGone(id));
+            let listed = self.servers.get(&id);
+            if listed.is_some_and(|known| known.born == born) {
+                changes.extend(self.unlist(revision, &id));
             }
         }
         (CommandOutcome::Accepted, changes)
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -45,6 +45,33 @@
     pub cold: Duration,
 }
 
+/// A call in which a backend server announces itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerAnnouncement {
+    /// The announced record.
+    pub record: ServerRecord,
+    /// Number of the call. Entries in the logs of earlier versions end before this field.
+    pub sequence: ids::CallSequence,
+}
+
+impl ServerAnnouncement {
+    /// Returns whether the call was sent before another one of its incarnation and is out of date. That a
+    /// server drains is never out of date, and servers without a start time begin anew with each incarnation.
+    pub(crate) fn is_before(&self, sequence: ids::CallSequence) -> bool {
+        let has_start = self.record.born > 0;
+        has_start && self.record.state == ServerState::Ready && self.sequence < sequence
+    }
+}
+
+impl From<ServerRecord> for ServerAnnouncement {
+    fn from(record: ServerRecord) -> Self {
+        Self {
+            record,
+            sequence: 0,
+        }
+    }
+}
+
 quick_error! {
     /// Reason why a record names no backend server.
     #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -11,6 +11,7 @@
 use crate::command::{CommandOutcome, FleetCommand, SiteReplacement};
 use crate::hint::ServerIncarnation;
 use crate::ids;
+use crate::membership::CallTrace;
 use crate::server::ServerRecord;
 use crate::site::SiteConfig;
 use crate::suspect::MAX_ENDED_SERVERS;
@@ -62,6 +63,8 @@
     /// Who may call the deployment, by the configuration in force. Snapshots of earlier versions end before
     /// this field.
     access: Arc<AccessPolicy>,
+    /// Latest committed call of each backend server, also of some that aren't listed any more.
+    pub(crate) calls: BTreeMap<ids::ServerId, CallTrace>,
 }
 
 impl FleetState {
@@ -120,9 +123,9 @@
     ) -> (CommandOutcome, Vec<FleetChange>) {
         let (outcome, changes) = match command {
             FleetCommand::Replace(replacement) => self.replace(replacement),
-            FleetCommand::Announce(record) => self.announce(revision, &record),
+            FleetCommand::Announce(announcement) => self.announce(revision, &announcement),
             FleetCommand::Leave { id, born } => self.leave(revision, &id, born),
-            FleetCommand::Expire(incarnations) => self.expire(incarnations),
+            FleetCommand::Expire(incarnations) => self.expire(revision, incarnations),
             FleetCommand::Evacuate(zone) => self.evacuate(revision, zone),
             FleetCommand::Readmit(zone) => self.readmit(zone),
             FleetCommand::Quarantine { request, ended } => {
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fleet::command::{CommandOutcome, FleetCommand, SiteReplacement};
-use fleet::server::{ServerRecord, ServerState};
+use fleet::server::{ServerAnnouncement, ServerRecord, ServerState};
 use fleet::site::{ServiceSpec, SiteConfig};
 use fleet::state::FleetState;
 use rstest::rstest;
@@ -52,7 +52,29 @@
     }
 
     fn announce(&mut self, record: ServerRecord) -> CommandOutcome {
-        self.apply(FleetCommand::Announce(record))
+        self.apply(FleetCommand::Announce(record.into()))
+    }
+
+    /// Announces the server `s1` with the number of the call.
+    fn call(&mut self, sequence: u64, state: ServerState) -> CommandOutcome {
+        let record = ServerRecord {
+            state,
+            ..record("s1", 20, "reads")
+        };
+        self.apply(FleetCommand::Announce(ServerAnnouncement {
+            record,
+            sequence,
+        }))
+    }
+
+    fn leave(&mut self, born: Option<u64>) -> CommandOutcome {
+        let id = "s1".to_string();
+        self.apply(FleetCommand::Leave { id, born })
+    }
+
+    fn expire(&mut self) {
+        self.apply(FleetCommand::Expire(vec![("s1".to_string(), 20)]));
+        assert!(self.listed().is_empty());
     }
 
     /// Returns the ids, start times and services of the listed servers.
@@ -119,3 +141,107 @@
     state.announce(record("s1", 20, "reads"));
     assert_eq!(state.listed(), [("s1", 20, "reads")]);
 }
+
+/// The leave of a server that had been removed as silent was acknowledged and forgotten, and a heartbeat that a
+/// partition had held up listed the server again.
+#[test]
+fn the_leave_of_a_server_that_was_removed_as_silent_is_remembered() {
+    let mut state = TestState::configured();
+    state.call(5, ServerState::Ready);
+    state.expire();
+    assert_eq!(state.leave(None), CommandOutcome::Unchanged);
+    assert_eq!(state.call(6, ServerState::Ready), CommandOutcome::Unchanged);
+    assert!(state.listed().is_empty());
+}
+
+/// A server that drained, was removed as silent and announced itself again was ready again, as its record was all
+/// that told of the draining.
+#[test]
+fn draining_is_final_also_after_the_server_was_removed_as_silent() {
+    let mut state = TestState::configured();
+    state.call(5, ServerState::Ready);
+    state.call(6, ServerState::Draining);
+    state.expire();
+    state.call(4, ServerState::Ready);
+    assert!(state.listed().is_empty());
+    state.call(7, ServerState::Ready);
+    let server = state.state.server("s1").unwrap();
+    assert_eq!(server.state, ServerState::Draining);
+}
+
+/// A late heartbeat of an incarnation that had ended listed it again after the next one had been removed as silent.
+#[test]
+fn an_earlier_incarnation_is_not_listed_after_a_later_one_was_removed() {
+    let mut state = TestState::configured();
+    state.call(1, ServerState::Ready);
+    state.expire();
+    let outcome = state.announce(record("s1", 10, "reads"));
+    assert_eq!(outcome, CommandOutcome::Unchanged);
+    assert!(state.listed().is_empty());
+}
+
+/// A late heartbeat put the record of before back in place.
+#[test]
+fn a_late_call_does_not_undo_a_later_one() {
+    let mut state = TestState::configured();
+    let call = |sequence, slots| {
+        let record = ServerRecord {
+            slots,
+            ..record("s1", 20, "reads")
+        };
+        FleetCommand::Announce(ServerAnnouncement { record, sequence })
+    };
+    state.apply(call(1, 4));
+    state.apply(call(3, 8));
+    assert_eq!(state.apply(call(2, 4)), CommandOutcome::Unchanged);
+    assert_eq!(state.state.server("s1").unwrap().slots, 8);
+}
+
+/// An acknowledged draining must hold whatever arrived before it.
+#[test]
+fn draining_is_taken_from_a_late_call_too() {
+    let mut state = TestState::configured();
+    state.call(5, ServerState::Ready);
+    assert_eq!(
+        state.call(4, ServerState::Draining),
+        CommandOutcome::Accepted
+    );
+    let server = state.state.server("s1").unwrap();
+    assert_eq!(server.state, ServerState::Draining);
+}
+
+/// Servers of other implementations give no start time, so the calls of an incarnation can't be told from those of
+/// the next one, which are numbered from the start again.
+#[test]
+fn calls_of_a_server_without_a_start_time_are_not_ordered() {
+    let mut state = TestState::configured();
+    let call = |sequence, slots| {
+        let record = ServerRecord {
+            slots,
+            ..record("s1", 0, "reads")
+        };
+        FleetCommand::Announce(ServerAnnouncement { record, sequence })
+    };
+    state.apply(call(500, 4));
+    assert_eq!(state.apply(call(1, 8)), CommandOutcome::Accepted);
+}
+
+/// Each removed server left a trace for good.
+#[test]
+fn the_calls_of_unlisted_servers_are_bounded() {
+    const KEPT: u64 = 4_096;
+    let mut state = TestState::configured();
+    for number in 0..KEPT + 100 {
+        let id = format!("s{number}");
+        state.announce(record(&id, 20, "reads"));
+        state.apply(FleetCommand::Expire(vec![(id, 20)]));
+    }
+    let bytes = postcard::to_allocvec(&state.state).unwrap().len();
+    assert!(bytes < 200_000, "{bytes}");
+    state.apply(FleetCommand::Leave {
+        id: "s4195".to_string(),
+        born: None,
+    });
+    state.announce(record("s4195", 20, "reads"));
+    assert!(state.listed().is_empty());
+}
--- a/crates/fleet/tests/state.rs
+++ b/crates/fleet/tests/state.rs
@@ -39,7 +39,7 @@
     }
 
     fn announce(&mut self, id: &str, born: u64, port: u16, state: ServerState) -> CommandOutcome {
-        self.apply(FleetCommand::Announce(record(id, born, port, state)))
+        self.apply(FleetCommand::Announce(record(id, born, port, state).into()))
     }
 
     fn version(&self) -> Option<u64> {
--- a/crates/gateway/tests/start.rs
+++ b/crates/gateway/tests/start.rs
@@ -106,7 +106,7 @@
         site: copy.site,
         access: copy.access,
     })]);
-    replica.execute((0..SERVERS).map(|number| FleetCommand::Announce(server(number))));
+    replica.execute((0..SERVERS).map(|number| FleetCommand::Announce(server(number).into())));
     let (queue, mut calls) = CoreQueue::new();
     let service = MeshService::new(DirectorHandle::new(1, queue, MeshLinks::new(1)));
     task::block_on(async { service.serve(address) }).unwrap();
