fix(fleet): a server that runs on after a late leave is listed again

Cause: a leave call has neither a start time nor a number. One that was held up removed the next incarnation and counted as that one's end, so its announcements were late ones for good.

Change: announcements of an incarnation after its leave are counted in the committed state, each with a higher number than before; the sixth lists it again, as five can be late, one in flight to each control replica. A leave of an unknown server is remembered by the same count.

The outcome that one test names is now Returning, not Unchanged; it still asserts that nothing is listed.

--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -508,15 +508,18 @@
             );
             return AnnounceDecision::Contested;
         }
-        self.observer
-            .liveness
-            .record_server(now, &record.id, record.born, record.cold);
+        if verdict != AnnouncementVerdict::Returning {
+            self.observer
+                .liveness
+                .record_server(now, &record.id, record.born, record.cold);
+        }
         match verdict {
             AnnouncementVerdict::Listed(_) => AnnounceDecision::Propose,
+            AnnouncementVerdict::Returning => {
+                log::info!(target: "claims", "announcement of a server that has left, counted towards its return; server={} born={} sequence={}", record.id, record.born, announcement.sequence);
+                AnnounceDecision::Propose
+            }
             AnnouncementVerdict::Unchanged | AnnouncementVerdict::Contested(_) => {
-                if self.replicated.state().server(&record.id).is_none() {
-                    log::info!(target: "claims", "announcement passed over, as it is late or its server has left; server={} born={} sequence={}", record.id, record.born, announcement.sequence);
-                }
                 AnnounceDecision::Unchanged
             }
         }
--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -18,11 +18,11 @@
     /// Announces a backend server or a change of its record.
     Announce(ServerAnnouncement),
     /// Removes a backend server. Late announcements of the incarnation that left, or of an earlier
-    /// one, are refused.
+    /// one, don't list it again; one that goes on announcing itself returns.
     Leave {
         /// Id of the server.
         id: ids::ServerId,
-        /// Start time of the incarnation that leaves; `None` stands for the current one.
+        /// Start time of the incarnation that leaves; `None` stands for the latest one.
         born: Option<ids::StartTime>,
     },
     /// Removes incarnations of backend servers that have stopped announcing themselves; a later
@@ -74,4 +74,6 @@
     OldVersion,
     /// The announcement isn't taken for now: another server holds its address or its id.
     Contested,
+    /// The announcement isn't taken yet: its incarnation has left, and the call counts towards its return.
+    Returning,
 }
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -4,6 +4,10 @@
 //! configuration in force doesn't name has no servers to use, so its records yield to those of named
 //! services, whichever came first or started later. Before the first configuration all services count
 //! as named.
+//!
+//! The calls of a server are ordered by its start time and their number. A leave call has neither, so it may
+//! have been sent by an earlier incarnation than the one that it removes. A server that goes on announcing
+//! itself after it is therefore listed again, once that can't be late calls.
 
 use serde::{Deserialize, Serialize};
 
@@ -18,6 +22,10 @@
 /// refused.
 const MAX_ENDED_INCARNATIONS: usize = 4_096;
 
+/// Number of announcements after a leave that show that the incarnation runs on. Fewer may be late ones: a
+/// server has one call at a time in flight to each of the five control replicas.
+const RETURN_ANNOUNCEMENTS: u32 = 6;
+
 /// Maximum number of servers that aren't listed whose latest call is remembered.
 const MAX_UNLISTED_CALLS: usize = 4_096;
 
@@ -29,6 +37,8 @@
     sequence: ids::CallSequence,
     /// Whether the incarnation has announced that it drains, which is final.
     is_draining: bool,
+    /// Number of announcements since the incarnation left.
+    returns: u32,
     /// Log index of the call or of the removal of the server.
     at: ids::Revision,
 }
@@ -42,6 +52,8 @@
     Listed(Box<ServerRecord>),
     /// Nothing for now: this server holds the address or the id.
     Contested(ServerIncarnation),
+    /// Nothing yet: the incarnation has left. The call counts towards its return.
+    Returning,
 }
 
 impl FleetState {
@@ -74,9 +86,25 @@
                 }
             }
         }
+        if self.has_left(record) && self.returns(record) + 1 < RETURN_ANNOUNCEMENTS {
+            return AnnouncementVerdict::Returning;
+        }
         AnnouncementVerdict::Listed(Box::new(merged))
     }
 
+    /// Returns whether the incarnation of a record has left.
+    fn has_left(&self, record: &ServerRecord) -> bool {
+        let ended = self.ended.get(&record.id);
+        ended.is_some_and(|(born, _)| !record.started_after(*born))
+    }
+
+    /// Returns the number of announcements of the incarnation of a record since it left.
+    fn returns(&self, record: &ServerRecord) -> u32 {
+        let call = self.calls.get(&record.id);
+        let call = call.filter(|call| call.born == record.born);
+        call.map_or(0, |call| call.returns)
+    }
+
     /// Returns whether the configuration in force names a service, or there is none yet.
     fn is_named(&self, service: &str) -> bool {
         let site = self.site();
@@ -106,18 +134,18 @@
                 born: known.born,
                 sequence: 0,
                 is_draining: known.state == ServerState::Draining,
+                returns: 0,
                 at: 0,
             })
         };
         self.calls.get(id).cloned().or_else(listed)
     }
 
-    /// Returns the record of a server after an announcement; `None` where the incarnation has ended, the call
-    /// is late, or it repeats the record.
+    /// Returns the record of a server after an announcement; `None` where the call is late or repeats the record.
     fn merge(&self, announcement: &ServerAnnouncement) -> Option<ServerRecord> {
         let record = &announcement.record;
-        let ended = self.ended.get(&record.id);
-        if ended.is_some_and(|(born, _)| !record.started_after(*born)) {
+        let has_left = self.has_left(record);
+        if has_left && !announcement.has_order() {
             return None;
         }
         let known = self.servers.get(&record.id);
@@ -127,7 +155,8 @@
                 return None;
             }
             if latest.born == record.born {
-                if announcement.is_before(latest.sequence) {
+                let is_repeated = has_left && announcement.sequence == latest.sequence;
+                if announcement.is_before(latest.sequence) || is_repeated {
                     return None;
                 }
                 if latest.is_draining {
@@ -156,6 +185,11 @@
             AnnouncementVerdict::Listed(merged) => *merged,
             AnnouncementVerdict::Unchanged => return (CommandOutcome::Unchanged, Vec::new()),
             AnnouncementVerdict::Contested(_) => return (CommandOutcome::Contested, Vec::new()),
+            AnnouncementVerdict::Returning => {
+                let returns = self.returns(&announcement.record) + 1;
+                self.record_call(revision, announcement, returns);
+                return (CommandOutcome::Returning, Vec::new());
+            }
         };
         let mut changes = Vec::new();
         let replaced: Vec<_> = self
@@ -169,20 +203,50 @@
             changes.extend(self.unlist(revision, &id));
         }
         self.ended.remove(&merged.id);
-        let call = CallTrace {
-            born: merged.born,
-            sequence: announcement.sequence,
-            is_draining: merged.state == ServerState::Draining,
-            at: revision,
-        };
-        self.calls.insert(merged.id.clone(), call);
+        self.record_call(revision, announcement, 0);
         changes.push(FleetChange::Server(merged.clone()));
         self.servers.insert(merged.id.clone(), merged);
         (CommandOutcome::Accepted, changes)
     }
 
-    /// Applies the leave call of an incarnation; without a start time, of the latest one that is known, which
-    /// may have been removed as silent before.
+    /// Records the latest call of a server, with the number of its announcements since it left.
+    fn record_call(
+        &mut self,
+        revision: ids::Revision,
+        announcement: &ServerAnnouncement,
+        returns: u32,
+    ) {
+        let record = &announcement.record;
+        let latest = self.latest_call(&record.id);
+        let latest = latest.filter(|latest| latest.born == record.born);
+        let (sequence, has_drained) =
+            latest.map_or((0, false), |latest| (latest.sequence, latest.is_draining));
+        let call = CallTrace {
+            born: record.born,
+            sequence: announcement.sequence.max(sequence),
+            is_draining: has_drained || record.state == ServerState::Draining,
+            returns,
+            at: revision,
+        };
+        self.calls.insert(record.id.clone(), call);
+        self.evict_calls();
+    }
+
+    /// Evicts the calls of the servers that have been unlisted for longest, beyond the bound.
+    fn evict_calls(&mut self) {
+        while self.calls.len() > self.servers.len() + MAX_UNLISTED_CALLS {
+            let unlisted = self.calls.iter();
+            let unlisted = unlisted.filter(|(id, _)| !self.servers.contains_key(*id));
+            let Some((oldest, _)) = unlisted.min_by_key(|(_, call)| call.at) else {
+                return;
+            };
+            let oldest = oldest.clone();
+            self.calls.remove(&oldest);
+        }
+    }
+
+    /// Applies the leave call of an incarnation. One without a start time is that of the latest incarnation
+    /// that is known, listed or not, or else of any.
     pub(crate) fn leave(
         &mut self,
         revision: ids::Revision,
@@ -194,9 +258,8 @@
             return (CommandOutcome::Unchanged, Vec::new());
         }
         let latest = || self.latest_call(id).map(|latest| latest.born);
-        if let Some(born) = born.or_else(latest) {
-            self.record_departure(revision, id, born);
-        }
+        let born = born.or_else(latest).unwrap_or(ids::StartTime::MAX);
+        self.record_departure(revision, id, born);
         match self.unlist(revision, id) {
             Some(change) => (CommandOutcome::Accepted, vec![change]),
             None => (CommandOutcome::Unchanged, Vec::new()),
@@ -216,15 +279,7 @@
         } else {
             self.calls.remove(id);
         }
-        while self.calls.len() > self.servers.len() + MAX_UNLISTED_CALLS {
-            let unlisted = self.calls.iter();
-            let unlisted = unlisted.filter(|(id, _)| !self.servers.contains_key(*id));
-            let Some((oldest, _)) = unlisted.min_by_key(|(_, call)| call.at) else {
-                break;
-            };
-            let oldest = oldest.clone();
-            self.calls.remove(&oldest);
-        }
+        self.evict_calls();
         Some(FleetChange::ServerGone(id.to_string()))
     }
 
@@ -234,6 +289,9 @@
             .get(id)
             .map_or(born, |(known, _)| born.max(*known));
         self.ended.insert(id.to_string(), (latest, revision));
+        if let Some(call) = self.calls.get_mut(id) {
+            call.returns = 0;
+        }
         while self.ended.len() > MAX_ENDED_INCARNATIONS {
             let oldest = self.ended.iter().min_by_key(|(_, (_, at))| *at);
             let Some(oldest) = oldest.map(|(id, _)| id.clone()) else {
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -55,11 +55,17 @@
 }
 
 impl ServerAnnouncement {
+    /// Returns whether the number of the call orders it among those of its incarnation. Servers without a
+    /// start time begin anew with each incarnation, which nothing tells from the former one.
+    pub(crate) fn has_order(&self) -> bool {
+        self.record.born > 0
+    }
+
     /// Returns whether the call was sent before another one of its incarnation and is out of date. That a
-    /// server drains is never out of date, and servers without a start time begin anew with each incarnation.
+    /// server drains is never out of date.
     pub(crate) fn is_before(&self, sequence: ids::CallSequence) -> bool {
-        let has_start = self.record.born > 0;
-        has_start && self.record.state == ServerState::Ready && self.sequence < sequence
+        let is_ready = self.record.state == ServerState::Ready;
+        self.has_order() && is_ready && self.sequence < sequence
     }
 }
 
