fix(fleet): an announcement is judged again when it is committed

Cause: whether a server still announces itself was judged at the replica that got the call, against its own copy of the state. A follower learns of a commit with the leader's next message, so its copy may lack the server, and the commit didn't judge again.

Ruled out: late gossip between replicas.

Change: an announcement names the incarnations that its replica saw fall silent and that hold its address or id. Applied to the committed state, it replaces no other one of equal standing; commands of earlier versions name none and are applied as before.

--- a/crates/director/src/call.rs
+++ b/crates/director/src/call.rs
@@ -75,12 +75,12 @@
 }
 
 /// What the caller must do with an announcement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AnnounceDecision {
     /// Nothing: the announcement doesn't change the state.
     Unchanged,
     /// Propose it as a command for the log.
-    Propose,
+    Propose(Box<ServerAnnouncement>),
     /// Send it to another replica: the state of this one may be stale.
     Stale,
     /// Nothing for now: a server that still announces itself holds the address or the id, or the record
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -228,7 +228,7 @@
                 announcement,
                 reply,
             } => {
-                let _ = reply.send(self.handle_announcement(now, &announcement));
+                let _ = reply.send(self.handle_announcement(now, announcement));
             }
             CoreCall::Follow { request, reply } => self.hold_follow(now, *request, reply),
             CoreCall::Hosts(reply) => {
@@ -488,18 +488,25 @@
     fn handle_announcement(
         &mut self,
         now: Instant,
-        announcement: &ServerAnnouncement,
+        mut announcement: Box<ServerAnnouncement>,
     ) -> AnnounceDecision {
-        let record = &announcement.record;
         if !self.is_confirmed(now) {
             return AnnounceDecision::Stale;
         }
+        let record = &announcement.record;
         if claims::is_ahead(SystemTime::now(), record.born) {
             log::info!(target: "claims", "announcement passed over, as its start time is ahead; server={} born={}", record.id, record.born);
             return AnnounceDecision::Contested;
         }
         let state = self.replicated.state();
-        let verdict = state.judge(announcement, |holder| self.is_announcing(now, holder));
+        let mut verdict = state.judge(&announcement);
+        if verdict != AnnouncementVerdict::Unchanged {
+            let holders = state.holders(record);
+            let silent = holders.filter(|holder| !self.is_announcing(now, holder));
+            announcement.silent = Some(silent.map(ServerRecord::incarnation).collect());
+            verdict = state.judge(&announcement);
+        }
+        let record = &announcement.record;
         if let AnnouncementVerdict::Contested(holder) = verdict {
             log::info!(
                 target: "claims",
@@ -514,10 +521,10 @@
                 .record_server(now, &record.id, record.born, record.cold);
         }
         match verdict {
-            AnnouncementVerdict::Listed(_) => AnnounceDecision::Propose,
+            AnnouncementVerdict::Listed(_) => AnnounceDecision::Propose(announcement),
             AnnouncementVerdict::Returning => {
                 log::info!(target: "claims", "announcement of a server that has left, counted towards its return; server={} born={} sequence={}", record.id, record.born, announcement.sequence);
-                AnnounceDecision::Propose
+                AnnounceDecision::Propose(announcement)
             }
             AnnouncementVerdict::Unchanged | AnnouncementVerdict::Contested(_) => {
                 AnnounceDecision::Unchanged
--- a/crates/director/src/handle.rs
+++ b/crates/director/src/handle.rs
@@ -196,13 +196,13 @@
         limit: Duration,
     ) -> SubmitOutcome {
         let call = |reply| CoreCall::Announce {
-            announcement: Box::new(announcement.clone()),
+            announcement: Box::new(announcement),
             reply,
         };
         match self.core.ask(call).await {
             Some(AnnounceDecision::Unchanged) => SubmitOutcome::Done(CommandOutcome::Unchanged),
-            Some(AnnounceDecision::Propose) => {
-                self.submit(FleetCommand::Announce(announcement), limit)
+            Some(AnnounceDecision::Propose(announcement)) => {
+                self.submit(FleetCommand::Announce(*announcement), limit)
                     .await
             }
             Some(AnnounceDecision::Stale | AnnounceDecision::Contested) | None => {
--- a/crates/director/tests/liveness.rs
+++ b/crates/director/tests/liveness.rs
@@ -23,8 +23,8 @@
     };
     replica.core.handle_call(replica.now, call);
     let decision = answer.try_recv().unwrap();
-    if decision == AnnounceDecision::Propose {
-        replica.announce(record.clone());
+    if let AnnounceDecision::Propose(announcement) = &decision {
+        replica.execute([FleetCommand::Announce(announcement.as_ref().clone())]);
     }
     decision
 }
@@ -61,9 +61,11 @@
         service: "elsewhere".to_string(),
         ..server.clone()
     };
-    assert_eq!(announce(&mut replica, &odd), AnnounceDecision::Propose);
+    let decision = announce(&mut replica, &odd);
+    assert!(matches!(decision, AnnounceDecision::Propose(_)));
     name_service(&mut replica);
-    assert_eq!(announce(&mut replica, &server), AnnounceDecision::Propose);
+    let decision = announce(&mut replica, &server);
+    assert!(matches!(decision, AnnounceDecision::Propose(_)));
     for _ in 0..10 {
         replica.advance(Duration::from_millis(1_500));
         assert_eq!(announce(&mut replica, &odd), AnnounceDecision::Contested);
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -5,6 +5,10 @@
 //! services, whichever came first or started later. Before the first configuration all services count
 //! as named.
 //!
+//! A server that goes on announcing itself keeps its address and its id. Whether it does is what replicas
+//! observe, each at its own time, so an announcement names the servers that its replica saw fall silent, and
+//! replaces no other.
+//!
 //! The calls of a server are ordered by its start time and their number. A leave call has neither, so it may
 //! have been sent by an earlier incarnation than the one that it removes. A server that goes on announcing
 //! itself after it is therefore listed again, once that can't be late calls.
@@ -57,13 +61,8 @@
 }
 
 impl FleetState {
-    /// Judges an announcement. `is_announcing` tells whether a server that holds the address or the id of
-    /// the record still announces itself.
-    pub fn judge(
-        &self,
-        announcement: &ServerAnnouncement,
-        is_announcing: impl Fn(&ServerRecord) -> bool,
-    ) -> AnnouncementVerdict {
+    /// Judges an announcement.
+    pub fn judge(&self, announcement: &ServerAnnouncement) -> AnnouncementVerdict {
         let record = &announcement.record;
         let Some(merged) = self.merge(announcement) else {
             return AnnouncementVerdict::Unchanged;
@@ -80,7 +79,7 @@
                     if holder.started_after(record.born) {
                         return AnnouncementVerdict::Unchanged;
                     }
-                    if !is_restart && is_announcing(holder) {
+                    if !is_restart && !announcement.is_silent(holder) {
                         return AnnouncementVerdict::Contested(holder.incarnation());
                     }
                 }
@@ -113,7 +112,7 @@
 
     /// Returns the servers that a record would replace: those at its address, and another incarnation or
     /// service under its id.
-    fn holders<'a>(
+    pub fn holders<'a>(
         &'a self,
         record: &'a ServerRecord,
     ) -> impl Iterator<Item = &'a ServerRecord> + 'a {
@@ -181,7 +180,7 @@
         revision: ids::Revision,
         announcement: &ServerAnnouncement,
     ) -> (CommandOutcome, Vec<FleetChange>) {
-        let merged = match self.judge(announcement, |_| false) {
+        let merged = match self.judge(announcement) {
             AnnouncementVerdict::Listed(merged) => *merged,
             AnnouncementVerdict::Unchanged => return (CommandOutcome::Unchanged, Vec::new()),
             AnnouncementVerdict::Contested(_) => return (CommandOutcome::Contested, Vec::new()),
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -52,9 +52,18 @@
     pub record: ServerRecord,
     /// Number of the call. Entries in the logs of earlier versions end before this field.
     pub sequence: ids::CallSequence,
+    /// Servers that hold the address or the id of the record and have stopped announcing themselves, as far as
+    /// the replica that got the call knows. `None` stands for all, as in the logs of earlier versions.
+    pub silent: Option<Vec<ServerIncarnation>>,
 }
 
 impl ServerAnnouncement {
+    /// Returns whether another server may be replaced, as it has stopped announcing itself.
+    pub(crate) fn is_silent(&self, holder: &ServerRecord) -> bool {
+        let silent = self.silent.as_ref();
+        silent.is_none_or(|silent| silent.contains(&holder.incarnation()))
+    }
+
     /// Returns whether the number of the call orders it among those of its incarnation. Servers without a
     /// start time begin anew with each incarnation, which nothing tells from the former one.
     pub(crate) fn has_order(&self) -> bool {
@@ -74,6 +83,7 @@
         Self {
             record,
             sequence: 0,
+            silent: None,
         }
     }
 }
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fleet::command::{CommandOutcome, FleetCommand, SiteReplacement};
+use fleet::hint::ServerIncarnation;
 use fleet::server::{ServerAnnouncement, ServerRecord, ServerState};
 use fleet::site::{ServiceSpec, SiteConfig};
 use fleet::state::FleetState;
@@ -62,8 +63,8 @@
             ..record("s1", 20, "reads")
         };
         self.apply(FleetCommand::Announce(ServerAnnouncement {
-            record,
             sequence,
+            ..record.into()
         }))
     }
 
@@ -189,7 +190,10 @@
             slots,
             ..record("s1", 20, "reads")
         };
-        FleetCommand::Announce(ServerAnnouncement { record, sequence })
+        FleetCommand::Announce(ServerAnnouncement {
+            sequence,
+            ..record.into()
+        })
     };
     state.apply(call(1, 4));
     state.apply(call(3, 8));
@@ -220,7 +224,10 @@
             slots,
             ..record("s1", 0, "reads")
         };
-        FleetCommand::Announce(ServerAnnouncement { record, sequence })
+        FleetCommand::Announce(ServerAnnouncement {
+            sequence,
+            ..record.into()
+        })
     };
     state.apply(call(500, 4));
     assert_eq!(state.apply(call(1, 8)), CommandOutcome::Accepted);
@@ -331,3 +338,29 @@
     let server = state.state.server("s1").unwrap();
     assert_eq!(server.state, ServerState::Draining);
 }
+
+/// A replica that lagged behind the leader judged a claim by its own copy of the state, in which the server wasn't
+/// listed yet, and the claim replaced it when it was committed.
+#[rstest]
+#[case::silent(vec![incarnation("s1", 20)], CommandOutcome::Accepted)]
+#[case::announcing_or_unknown_to_the_replica(vec![], CommandOutcome::Contested)]
+#[case::an_earlier_incarnation_was_silent(vec![incarnation("s1", 10)], CommandOutcome::Contested)]
+fn an_announcement_replaces_only_a_server_that_its_replica_saw_fall_silent(
+    #[case] silent: Vec<ServerIncarnation>,
+    #[case] outcome: CommandOutcome,
+) {
+    let mut state = TestState::configured();
+    state.call(1, ServerState::Ready);
+    let claim = ServerAnnouncement {
+        silent: Some(silent),
+        ..record("s2", 30, "reads").into()
+    };
+    assert_eq!(state.apply(FleetCommand::Announce(claim)), outcome);
+    let is_replaced = outcome == CommandOutcome::Accepted;
+    assert_eq!(state.state.server("s1").is_none(), is_replaced);
+}
+
+fn incarnation(id: &str, born: u64) -> ServerIncarnation {
+    let id = id.to_string();
+    ServerIncarnation { id, born }
+}
