fix(gateway): a stopping host takes late requests only if it can finish them

What callers saw: with a grace period of 10 s, a request that a host took 4.6 s after SIGTERM got the host's own 502 at 9.0 s, at which its server was at work (LOST).

Cause: a stopping host weighed deadlines only once its listener was closed, at half of the grace period. With 6 s that is when clients have learned of the stop; with 10 s it is 2 s later.

Ruled out: a cut without an answer; the request was answered, and pipelined and idle connections are closed as before.

Change: from three lifetimes of a directory answer on, 3 s after the signal, or from the close of the listener if that comes first, the host takes only requests whose deadline it can keep, and refuses others at once as not run.

Before: shutdown.rs a_long_grace_period_covers_the_requests_that_are_taken_late failed on with 502 for 503. After: all four tests of shutdown.rs passed; requests with deadlines that it can keep are served at 4.6 s.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -10,6 +10,7 @@
 
 use async_std::task;
 use bytes::Bytes;
+use director::directory;
 use fleet::site::ClientLimits;
 use futures_util::future::{self, Either, FutureExt};
 use http::header::{HeaderValue, CONNECTION};
@@ -43,6 +44,9 @@
 /// Share of the shutdown timeout for which the host drains, that is, still accepts connections.
 const DRAIN_SHARE: f64 = 0.5;
 
+/// Longest time for which clients use an answer of the directory, as a multiple of its time to live.
+const MAX_KEPT_TTLS: u32 = 3;
+
 /// Longest time for which a stopping host still waits for requests on open connections, so that those
 /// in transit are answered.
 const TRANSIT_GRACE: Duration = Duration::from_millis(300);
@@ -85,8 +89,27 @@
     phase: watch::Sender<ServerPhase>,
     /// Number of open connections.
     connections: AtomicUsize,
-    /// Time from which a shutdown answers all requests itself; unset before the shutdown.
-    finishes_at: OnceLock<Instant>,
+    /// Times of the shutdown; unset before it.
+    shutdown: OnceLock<ShutdownTimes>,
+}
+
+/// Times at which a shutdown changes what it does with requests.
+#[derive(Debug, Clone, Copy)]
+struct ShutdownTimes {
+    /// Time from which clients know that the host stops. It takes only requests that it can finish.
+    is_known_at: Instant,
+    /// Time from which the host answers all requests itself.
+    finishes_at: Instant,
+}
+
+impl ShutdownTimes {
+    fn new(started_at: Instant, timeout: Duration) -> Self {
+        let known_after = directory::TTL * MAX_KEPT_TTLS;
+        Self {
+            is_known_at: started_at + known_after.min(timeout.mul_f64(DRAIN_SHARE)),
+            finishes_at: started_at + timeout.mul_f64(FINISH_SHARE),
+        }
+    }
 }
 
 impl ClientServer {
@@ -96,7 +119,7 @@
             forwarder,
             phase: watch::Sender::new(ServerPhase::Serving),
             connections: AtomicUsize::new(0),
-            finishes_at: OnceLock::new(),
+            shutdown: OnceLock::new(),
         })
     }
 
@@ -134,8 +157,8 @@
     /// over, it answers the requests that are left itself.
     pub async fn shutdown(&self, timeout: Duration) {
         let started_at = Instant::now();
-        let finishes_at = started_at + timeout.mul_f64(FINISH_SHARE);
-        let finishes_at = *self.finishes_at.get_or_init(|| finishes_at);
+        let times = ShutdownTimes::new(started_at, timeout);
+        let finishes_at = self.shutdown.get_or_init(|| times).finishes_at;
         self.phase.send_replace(ServerPhase::Draining);
         task::sleep(timeout.mul_f64(DRAIN_SHARE)).await;
         self.phase.send_replace(ServerPhase::Stopping);
@@ -294,7 +317,7 @@
     ) -> Result<ForwardEnd, HostAnswer> {
         let now = Instant::now();
         let sender = self.forwarder.sender();
-        let request = intake::read(sender, self.last_deadline(), now, parts, body).await?;
+        let request = intake::read(sender, self.last_deadline(now), now, parts, body).await?;
         let end = self.forwarder.forward(&request).await;
         if matches!(end, ForwardEnd::Host(HostAnswer::NotRun { .. })) {
             intake::refund_quota(&sender.state, request.organisation.as_deref());
@@ -302,11 +325,11 @@
         Ok(end)
     }
 
-    /// Returns the latest deadline of a request that this host still takes; `None` while its listener is
-    /// open. The client of a request with a later deadline still has time to ask another host.
-    fn last_deadline(&self) -> Option<Instant> {
-        let is_stopping = *self.phase.borrow() >= ServerPhase::Stopping;
-        self.finishes_at.get().copied().filter(|_| is_stopping)
+    /// Returns the latest deadline of a request that this host still takes; `None` while clients may not know
+    /// that it stops. The client of a request with a later deadline still has time to ask another host.
+    fn last_deadline(&self, now: Instant) -> Option<Instant> {
+        let times = self.shutdown.get()?;
+        (now >= times.is_known_at).then_some(times.finishes_at)
     }
 }
 
