fix(control): a replica goes on by itself once its disk has room again

Cause: a store takes no writes after a failed one, and only a start of wisteria-control opened the data folder again.

Ruled out: what the disk holds. A folder that was full with a record written in part opens and takes writes (store/tests/failing_disk.rs, new, passed before).

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -69,6 +69,8 @@
     heartbeats: u64,
     next_heartbeat_at: Instant,
     metrics: ControlMetrics,
+    /// Whether the disk has failed, so that the core must be recovered from what it holds.
+    disk_failed: bool,
     actions: Vec<CoreAction>,
 }
 
@@ -115,12 +117,43 @@
             heartbeats: 0,
             next_heartbeat_at: now,
             metrics,
+            disk_failed: false,
             actions: Vec::new(),
         };
         core.publish_snapshot();
         Ok(core)
     }
 
+    /// Begins anew from the state recovered from the disk after it failed. Watchers keep the state that was
+    /// published before.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the snapshot can't be decoded.
+    pub fn recover(&mut self, now: Instant, recovered: RecoveredState) -> Result<(), ControlError> {
+        let core = Self::new(
+            now,
+            self.settings.clone(),
+            recovered,
+            Arc::clone(&self.holder),
+            self.metrics.clone(),
+        )?;
+        let applied = self.applied.clone();
+        applied.send_replace(core.snapshot_index);
+        let reports = std::mem::take(&mut self.reports);
+        *self = Self {
+            applied,
+            reports,
+            ..core
+        };
+        Ok(())
+    }
+
+    /// Returns whether the disk has failed, after which the core must be recovered.
+    pub fn has_failed_disk(&self) -> bool {
+        self.disk_failed
+    }
+
     /// Returns a receiver of the index of the last applied entry.
     pub fn applied(&self) -> watch::Receiver<quorum::ids::LogIndex> {
         self.applied.subscribe()
@@ -226,7 +259,10 @@
                 self.metrics.replica.record_sync(took);
                 self.handle_event(now, Event::Persisted { token });
             }
-            DiskReport::Failed(_) => self.handle_event(now, Event::StorageFailed),
+            DiskReport::Failed(_) => {
+                self.disk_failed = true;
+                self.handle_event(now, Event::StorageFailed);
+            }
         }
     }
 }
--- a/crates/proof/src/plan.rs
+++ b/crates/proof/src/plan.rs
@@ -145,6 +145,7 @@
             let operators = ports::free_address()?;
             let name = format!("c{}", index + 1);
             let process = ProcessPlan::new("wisteria-control", &name)
+                .limit_files()
                 .flag("id", index + 1)
                 .flag("replicas", &replica_list)
                 .flag("operators", operators)
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use rustix::process::{self, Pid, Signal};
+use rustix::process::{self, Pid, Resource, Rlimit, Signal};
 
 use crate::error::ProofError;
 use crate::http::HttpCall;
@@ -20,8 +20,13 @@
     name: String,
     args: Vec<String>,
     env: Vec<(String, String)>,
+    limits_files: bool,
 }
 
+/// Shell command that runs a program in which a write beyond the limit of a file's size fails, and doesn't end
+/// the process.
+const FILE_LIMIT_SHELL: [&str; 2] = ["-c", r#"trap "" XFSZ; exec "$0" "$@""#];
+
 impl ProcessPlan {
     /// Creates the plan of a process that runs a program of the workspace, such as
     /// `wisteria-control`. The `name` identifies the process in errors and names its log file.
@@ -31,9 +36,16 @@
             name: name.to_string(),
             args: Vec::new(),
             env: Vec::new(),
+            limits_files: false,
         }
     }
 
+    /// Allows [`ProofProcess::limit_files`].
+    pub fn limit_files(mut self) -> Self {
+        self.limits_files = true;
+        self
+    }
+
     /// Adds the flag `--name` with its value.
     pub fn flag(mut self, name: &str, value: impl ToString) -> Self {
         self.args.push(format!("--{name}"));
@@ -70,7 +82,15 @@
 
     fn spawn(&self, log: &Path) -> Result<Child, ProofError> {
         let output = File::options().create(true).append(true).open(log)?;
-        let child = Command::new(program_path(&self.program)?)
+        let program = program_path(&self.program)?;
+        let mut command = if self.limits_files {
+            let mut shell = Command::new("/bin/sh");
+            shell.args(FILE_LIMIT_SHELL).arg(program);
+            shell
+        } else {
+            Command::new(program)
+        };
+        let child = command
             .args(&self.args)
             .env_clear()
             .envs(self.env.iter().cloned())
@@ -178,6 +198,21 @@
         self.signal(Signal::HUP)
     }
 
+    /// Makes writes beyond a size of a file fail, as those to a full disk do; `None` lifts the limit. The plan must
+    /// allow it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ProofError::NotRunning`] if the process is not running.
+    pub fn limit_files(&self, bytes: Option<u64>) -> Result<(), ProofError> {
+        let limit = Rlimit {
+            current: bytes,
+            maximum: None,
+        };
+        process::prlimit(Some(self.pid()?), Resource::Fsize, limit)?;
+        Ok(())
+    }
+
     /// Requests a graceful stop (SIGTERM) without waiting for the exit.
     ///
     /// # Errors
@@ -239,12 +274,15 @@
     }
 
     fn signal(&self, signal: Signal) -> Result<(), ProofError> {
-        let not_running = || ProofError::NotRunning(self.plan.name.clone());
-        let id = self.id().ok_or_else(not_running)?;
-        let pid = i32::try_from(id).ok().and_then(Pid::from_raw);
-        process::kill_process(pid.ok_or_else(not_running)?, signal)?;
+        process::kill_process(self.pid()?, signal)?;
         Ok(())
     }
+
+    fn pid(&self) -> Result<Pid, ProofError> {
+        let id = self.id().and_then(|id| i32::try_from(id).ok());
+        id.and_then(Pid::from_raw)
+            .ok_or_else(|| ProofError::NotRunning(self.plan.name.clone()))
+    }
 }
 
 impl Drop for ProofProcess {
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -25,6 +25,8 @@
     operations: usize,
     /// Number of the operation that fails, and how it fails.
     fault: Option<(usize, Fault)>,
+    /// Whether the disk takes no more bytes.
+    is_full: bool,
     /// Length of each file.
     written: BTreeMap<PathBuf, u64>,
     /// Synced length of each file.
@@ -47,6 +49,11 @@
         state.fault = Some((state.operations + operation, fault));
     }
 
+    /// Lets the disk take no more bytes; appends write half of theirs. Files can still be removed and renamed.
+    pub(crate) fn set_full(&self, is_full: bool) {
+        self.state.lock().unwrap().is_full = is_full;
+    }
+
     pub(crate) fn operations(&self) -> usize {
         self.state.lock().unwrap().operations
     }
@@ -112,7 +119,8 @@
     }
 
     fn append(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()> {
-        let fault = self.next_fault();
+        let is_full = self.state.lock().unwrap().is_full;
+        let fault = self.next_fault().or(is_full.then_some(Fault::ShortWrite));
         let written = match fault {
             None => bytes,
             Some(Fault::ShortWrite) => &bytes[..bytes.len() / 2],
@@ -132,6 +140,9 @@
     }
 
     fn overwrite(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        if self.state.lock().unwrap().is_full {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
         self.run_operation(|disk| disk.overwrite(path, bytes))
     }
 
--- a/crates/store/tests/failing_disk.rs
+++ b/crates/store/tests/failing_disk.rs
@@ -154,3 +154,36 @@
         assert_eq!(summary(&reopen(folder.path())), (0, 0, 0));
     }
 }
+
+/// A folder that is opened again and again while its disk is full must stay readable, and take writes once there is
+/// room again.
+#[test]
+fn a_folder_on_a_disk_that_is_full_for_a_time_takes_writes_again() {
+    let script = script();
+    for first in 0..=script.len() {
+        let folder = tempfile::tempdir().unwrap();
+        let disk = FaultDisk::default();
+        let open = || {
+            disk.kill();
+            ReplicaStore::open_with_disk(Box::new(disk.clone()), folder.path(), 1)
+        };
+        let (mut store, _) = open().unwrap();
+        assert_eq!(write_all(&mut store, &script[..first]), first);
+        drop(store);
+        disk.set_full(true);
+        for _ in 0..5 {
+            if let Ok((mut store, recovered)) = open() {
+                assert_eq!(summary(&recovered), expected(first));
+                assert_eq!(write_all(&mut store, &script[first..]), 0);
+            }
+        }
+        disk.set_full(false);
+        let (mut store, recovered) = open().unwrap();
+        assert_eq!(summary(&recovered), expected(first), "{first}");
+        let rest = &script[first..];
+        assert_eq!(write_all(&mut store, rest), rest.len());
+        drop(store);
+        disk.kill();
+        assert_eq!(summary(&reopen(folder.path())), expected(script.len()));
+    }
+}
