fix(wire): a request that was given up is not delivered later

Cause: an attempt is given up by dropping its connection, which closed the socket in the ordinary way. The machine then goes on sending what is in its send queue, after a cut too, when the process has long forgotten the request.

Ruled out: a host that chose a server of the zone after it had learned of the evacuation (the requests were sent before); the check before a request is sent, which can't hold back what was sent.

Change: a connection that is dropped during an exchange is reset, which empties its send queue; between exchanges it ends in the ordinary way. Both request paths tell the connection when an exchange begins and ends.

--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -99,6 +99,7 @@
     /// Records that a response was complete.
     pub(crate) fn record_response(&mut self, now: Instant) {
         self.last_response_at = now;
+        self.connection.end_exchange();
     }
 
     /// Waits a short time until the connection accepts its next request. Returns false if the
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -316,6 +316,7 @@
             }
             Err(e @ BufferError::NoRoom) => return broken(e.to_string()),
         };
+        connection.http.end_exchange();
         let closes = has_connection_close(&parts.headers);
         if let Some(timeout) = announced_idle_timeout(&parts.headers) {
             connection.set_idle_timeout(timeout);
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -28,13 +28,16 @@
 
 /// A connection that carries one request at a time.
 ///
-/// Dropping it closes the socket.
+/// Dropping it closes the socket. During an exchange the socket is reset, so that what the peer hasn't got of
+/// the request, such as behind a partition, isn't delivered after the request was given up.
 #[derive(Debug)]
 pub struct HttpConnection<B> {
     /// Sender of requests on the connection.
     pub sender: http1::SendRequest<B>,
     socket: socket2::Socket,
     allowance: ReadAllowance,
+    /// Whether a request was sent whose answer isn't complete.
+    in_exchange: bool,
     _closer: oneshot::Sender<Infallible>,
 }
 
@@ -75,16 +78,23 @@
             sender,
             socket,
             allowance,
+            in_exchange: false,
             _closer: closer,
         })
     }
 
-    /// Limits what is read until the head of the next answer is complete. Must be called before a
-    /// request is sent.
-    pub fn begin_head(&self) {
+    /// Begins an exchange, and limits what is read until the head of its answer is complete. Must be called
+    /// before a request is sent.
+    pub fn begin_head(&mut self) {
+        self.in_exchange = true;
         self.allowance.set(HEAD_ALLOWANCE_BYTES);
     }
 
+    /// Records that the answer is complete.
+    pub fn end_exchange(&mut self) {
+        self.in_exchange = false;
+    }
+
     /// Limits what is read of the rest of an answer whose body has at most `max_bytes` bytes.
     ///
     /// The limit leaves room for the framing of a body in chunks.
@@ -120,3 +130,15 @@
         matches!(peeked, Err(err) if err.kind() == io::ErrorKind::WouldBlock)
     }
 }
+
+impl<B> Drop for HttpConnection<B> {
+    fn drop(&mut self) {
+        if !self.in_exchange {
+            return;
+        }
+        // A linger time of zero makes the close a reset, which drops what is in the send queue.
+        if let Err(e) = self.socket.set_linger(Some(Duration::ZERO)) {
+            log::warn!(target: "server", "connection closed without a reset, its request may still arrive; error={e}");
+        }
+    }
+}
