fix(fleet): an order for a zone that was held up does not undo a later one

Cause: evacuations.begin and evacuations.finish carry no number, so an order counted from its arrival at the leader. One that a cut held up on its way, and that its operator had long given up, ended an evacuation that was acknowledged later, or began one anew.

Change: an order carries the log index of the latest one for its zone that the replica knew when it took the call; the state keeps the index of the latest accepted one.

Before: fleet/tests/state.rs a_late_order_does_not_undo_a_later_one failed (the late order was accepted). After: the suites of fleet and director, and calls, durability and odd_entries of platform passed.

--- a/crates/director/src/call.rs
+++ b/crates/director/src/call.rs
@@ -49,6 +49,13 @@
     ReadSite(oneshot::Sender<ReadOutcome>),
     /// Returns the salt of the keys' digests in the configuration in force; `None` where it has no keys.
     KeySalt(oneshot::Sender<Option<KeySalt>>),
+    /// Reads the log index of the latest order for an availability zone, as far as this replica knows.
+    LatestOrder {
+        /// Availability zone.
+        zone: ids::ZoneName,
+        /// Receives the index; 0 if there was none.
+        reply: oneshot::Sender<ids::Revision>,
+    },
     /// Handles the announcement of a backend server.
     Announce {
         /// The announcement.
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -224,6 +224,9 @@
                 let access = self.replicated.state().access();
                 let _ = reply.send(access.requires_key.then_some(access.salt));
             }
+            CoreCall::LatestOrder { zone, reply } => {
+                let _ = reply.send(self.replicated.state().latest_order(&zone));
+            }
             CoreCall::Announce {
                 announcement,
                 reply,
--- a/crates/director/src/handle.rs
+++ b/crates/director/src/handle.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use async_std::{future, task};
-use fleet::command::{CommandOutcome, FleetCommand};
+use fleet::command::{CommandOutcome, FleetCommand, ZoneOrder};
 use fleet::ids;
 use fleet::server::ServerAnnouncement;
 use identity::key::KeySalt;
@@ -226,6 +226,33 @@
         self.submit(FleetCommand::Leave { id, born }, limit).await
     }
 
+    /// Begins or ends the evacuation of an availability zone. An order that arrives at the leader after a later
+    /// one for the zone was accepted changes nothing, such as one that a partition held up.
+    pub async fn set_evacuated(
+        &self,
+        zone: ids::ZoneName,
+        is_evacuated: bool,
+        limit: Duration,
+    ) -> SubmitOutcome {
+        let call = |reply| CoreCall::LatestOrder {
+            zone: zone.clone(),
+            reply,
+        };
+        let Some(follows) = self.core.ask(call).await else {
+            return SubmitOutcome::Unknown;
+        };
+        let order = ZoneOrder {
+            zone,
+            follows: Some(follows),
+        };
+        let command = if is_evacuated {
+            FleetCommand::Evacuate(order)
+        } else {
+            FleetCommand::Readmit(order)
+        };
+        self.submit(command, limit).await
+    }
+
     /// Replaces the seeds of the replica.
     pub fn set_seeds(&self, seeds: &[SocketAddrV4]) {
         let seeds = seeds.iter().map(|seed| address::replica_at(*seed));
--- a/crates/director/tests/suspects.rs
+++ b/crates/director/tests/suspects.rs
@@ -98,9 +98,10 @@
 
 /// Earlier versions wrote the snapshot, which ends before the fields that were added since.
 #[rstest]
-#[case::quarantines(&[quarantines(), access(), calls()])]
-#[case::access(&[access(), calls()])]
-#[case::calls(&[calls()])]
+#[case::quarantines(&[quarantines(), access(), calls(), zone_orders()])]
+#[case::access(&[access(), calls(), zone_orders()])]
+#[case::calls(&[calls(), zone_orders()])]
+#[case::zone_orders(&[zone_orders()])]
 fn a_snapshot_of_a_version_without_later_fields_is_read(#[case] later_fields: &[Vec<u8>]) {
     let mut state = fleet::state::FleetState::new();
     let record = server("s1", 1, Duration::ZERO);
@@ -128,6 +129,10 @@
     vec![0]
 }
 
+fn zone_orders() -> Vec<u8> {
+    vec![0]
+}
+
 fn access() -> Vec<u8> {
     postcard::to_allocvec(&AccessPolicy::default()).unwrap()
 }
--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -29,9 +29,9 @@
     /// announcement adds them again.
     Expire(Vec<(ids::ServerId, ids::StartTime)>),
     /// Stops sending new requests to the backend servers of an availability zone.
-    Evacuate(ids::ZoneName),
+    Evacuate(ZoneOrder),
     /// Ends the evacuation of an availability zone.
-    Readmit(ids::ZoneName),
+    Readmit(ZoneOrder),
     /// Holds a request back from all backend servers, as several ended while they ran it; or adds
     /// further ones.
     Quarantine {
@@ -44,6 +44,16 @@
     Release(ids::RequestDigest),
 }
 
+/// An operator's order for an availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneOrder {
+    /// Availability zone.
+    pub zone: ids::ZoneName,
+    /// Log index of the latest order for the zone that the replica knew when it took this one; 0 if there was
+    /// none. `None` follows any order, as in the logs of earlier versions, which end before this field.
+    pub follows: Option<ids::Revision>,
+}
+
 /// A configuration that is to replace the one in force.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SiteReplacement {
@@ -76,4 +86,6 @@
     Contested,
     /// The announcement isn't taken yet: its incarnation has left, and the call counts towards its return.
     Returning,
+    /// The order isn't taken: a later one for its availability zone was accepted before it arrived.
+    Superseded,
 }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -8,7 +8,7 @@
 
 use crate::access::AccessPolicy;
 use crate::change::FleetChange;
-use crate::command::{CommandOutcome, FleetCommand, SiteReplacement};
+use crate::command::{CommandOutcome, FleetCommand, SiteReplacement, ZoneOrder};
 use crate::hint::ServerIncarnation;
 use crate::ids;
 use crate::membership::CallTrace;
@@ -65,6 +65,8 @@
     access: Arc<AccessPolicy>,
     /// Latest committed call of each backend server, also of some that aren't listed any more.
     pub(crate) calls: BTreeMap<ids::ServerId, CallTrace>,
+    /// Log index of the latest accepted order for each availability zone.
+    zone_orders: BTreeMap<ids::ZoneName, ids::Revision>,
 }
 
 impl FleetState {
@@ -126,8 +128,8 @@
             FleetCommand::Announce(announcement) => self.announce(revision, &announcement),
             FleetCommand::Leave { id, born } => self.leave(revision, &id, born),
             FleetCommand::Expire(incarnations) => self.expire(revision, incarnations),
-            FleetCommand::Evacuate(zone) => self.evacuate(revision, zone),
-            FleetCommand::Readmit(zone) => self.readmit(zone),
+            FleetCommand::Evacuate(order) => self.evacuate(revision, order),
+            FleetCommand::Readmit(order) => self.readmit(revision, order),
             FleetCommand::Quarantine { request, ended } => {
                 self.quarantine(revision, request, ended)
             }
@@ -169,14 +171,35 @@
         (CommandOutcome::Accepted, vec![change])
     }
 
+    /// Returns the log index of the latest accepted order for an availability zone; 0 if there was none.
+    pub fn latest_order(&self, zone: &str) -> ids::Revision {
+        // Snapshots of earlier versions only tell when the evacuations began that are in force.
+        let latest = self.zone_orders.get(zone);
+        latest
+            .or_else(|| self.evacuated.get(zone))
+            .copied()
+            .unwrap_or(0)
+    }
+
+    /// Returns whether an order was taken before one that has been accepted since, so that it arrives too late.
+    fn is_superseded(&self, order: &ZoneOrder) -> bool {
+        let latest = self.latest_order(&order.zone);
+        order.follows.is_some_and(|follows| follows < latest)
+    }
+
     fn evacuate(
         &mut self,
         revision: ids::Revision,
-        zone: ids::ZoneName,
+        order: ZoneOrder,
     ) -> (CommandOutcome, Vec<FleetChange>) {
-        if self.evacuated.contains_key(&zone) {
+        if self.evacuated.contains_key(&order.zone) {
             return (CommandOutcome::Accepted, Vec::new());
         }
+        if self.is_superseded(&order) {
+            return (CommandOutcome::Superseded, Vec::new());
+        }
+        let zone = order.zone;
+        self.zone_orders.insert(zone.clone(), revision);
         self.evacuated.insert(zone.clone(), revision);
         (CommandOutcome::Accepted, vec![FleetChange::Evacuated(zone)])
     }
@@ -228,10 +251,20 @@
         }
     }
 
-    fn readmit(&mut self, zone: ids::ZoneName) -> (CommandOutcome, Vec<FleetChange>) {
-        if self.evacuated.remove(&zone).is_none() {
+    fn readmit(
+        &mut self,
+        revision: ids::Revision,
+        order: ZoneOrder,
+    ) -> (CommandOutcome, Vec<FleetChange>) {
+        if !self.evacuated.contains_key(&order.zone) {
             return (CommandOutcome::Accepted, Vec::new());
         }
+        if self.is_superseded(&order) {
+            return (CommandOutcome::Superseded, Vec::new());
+        }
+        let zone = order.zone;
+        self.zone_orders.insert(zone.clone(), revision);
+        self.evacuated.remove(&zone);
         (
             CommandOutcome::Accepted,
             vec![FleetChange::Readmitted(zone)],
--- a/crates/fleet/tests/state.rs
+++ b/crates/fleet/tests/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fleet::change::{ChangeLog, FleetChange, FleetUpdate, FleetView};
-use fleet::command::{CommandOutcome, FleetCommand, SiteReplacement};
+use fleet::command::{CommandOutcome, FleetCommand, SiteReplacement, ZoneOrder};
 use fleet::server::{ServerRecord, ServerState};
 use fleet::site::SiteConfig;
 use fleet::state::FleetState;
@@ -42,6 +42,14 @@
         self.apply(FleetCommand::Announce(record(id, born, port, state).into()))
     }
 
+    /// Returns an order for the only zone, taken by a replica that has applied all commands.
+    fn order(&self) -> ZoneOrder {
+        ZoneOrder {
+            zone: "north-a".to_string(),
+            follows: Some(self.state.latest_order("north-a")),
+        }
+    }
+
     fn version(&self) -> Option<u64> {
         self.state.site().map(|site| site.version)
     }
@@ -205,17 +213,60 @@
 fn repeated_evacuations_and_readmissions_are_accepted() {
     let mut log = TestLog::default();
     for _ in 0..2 {
-        let begin = FleetCommand::Evacuate("north-a".to_string());
-        assert_eq!(log.apply(begin), CommandOutcome::Accepted);
+        let order = log.order();
+        assert_eq!(
+            log.apply(FleetCommand::Evacuate(order)),
+            CommandOutcome::Accepted
+        );
     }
     assert_eq!(log.state.evacuated().count(), 1);
     for _ in 0..2 {
-        let finish = FleetCommand::Readmit("north-a".to_string());
-        assert_eq!(log.apply(finish), CommandOutcome::Accepted);
+        let order = log.order();
+        assert_eq!(
+            log.apply(FleetCommand::Readmit(order)),
+            CommandOutcome::Accepted
+        );
     }
     assert_eq!(log.state.evacuated().count(), 0);
 }
 
+/// An order that a partition held up on its way to the leader undid a later one that was acknowledged.
+#[test]
+fn a_late_order_does_not_undo_a_later_one() {
+    let mut log = TestLog::default();
+    let late_begin = log.order();
+    let order = log.order();
+    log.apply(FleetCommand::Evacuate(order));
+    let late_finish = log.order();
+    let order = log.order();
+    log.apply(FleetCommand::Readmit(order));
+    let outcome = log.apply(FleetCommand::Evacuate(late_begin));
+    assert_eq!(outcome, CommandOutcome::Superseded);
+    assert_eq!(log.state.evacuated().count(), 0);
+    let order = log.order();
+    log.apply(FleetCommand::Evacuate(order));
+    let outcome = log.apply(FleetCommand::Readmit(late_finish));
+    assert_eq!(outcome, CommandOutcome::Superseded);
+    assert_eq!(log.state.evacuated().count(), 1);
+}
+
+/// Orders in the logs of earlier versions don't tell what they follow.
+#[test]
+fn an_order_of_an_earlier_version_follows_any_order() {
+    let mut log = TestLog::default();
+    let early = ZoneOrder {
+        follows: None,
+        ..log.order()
+    };
+    log.apply(FleetCommand::Evacuate(early.clone()));
+    log.apply(FleetCommand::Readmit(early.clone()));
+    assert_eq!(
+        log.apply(FleetCommand::Evacuate(early)),
+        CommandOutcome::Accepted
+    );
+    assert_eq!(log.state.evacuated().count(), 1);
+}
+
 #[test]
 fn an_update_from_any_revision_gives_the_latest_view() {
     let mut log = TestLog::default();
@@ -224,7 +275,8 @@
     views.push(FleetView::of(&log.state));
     log.announce("s1", 10, 80, ServerState::Ready);
     views.push(FleetView::of(&log.state));
-    log.apply(FleetCommand::Evacuate("north-a".to_string()));
+    let order = log.order();
+    log.apply(FleetCommand::Evacuate(order));
     log.announce("s2", 20, 80, ServerState::Ready);
     log.site(6, 5, "b");
     let latest = FleetView::of(&log.state);
