--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -9,10 +9,7 @@
 use feed::holder::StateHolder;
 use feed::service::FeedService;
 use futures_util::FutureExt;
-use quorum::entry::RecoveredState;
 use signal_hook::consts::{SIGINT, SIGTERM};
-use store::error::StoreError;
-use store::replica::ReplicaStore;
 use store::writer::DiskWriter;
 use telemetry::metrics::MetricRegistry;
 use tokio::sync::mpsc;
@@ -29,6 +26,7 @@
 use crate::operator::listener::OperatorListener;
 use crate::operator::routes::{OperatorApp, OperatorContext};
 use crate::peers::PeerLinks;
+use crate::reopener::{self, StoreReopener};
 use crate::replica_service::ReplicaService;
 use crate::settings::ControlSettings;
 use crate::shares_service::SharesService;
@@ -52,7 +50,7 @@
 /// Fails where the data folder can't be opened, an address can't be bound, the metrics can't be
 /// registered, or a thread or signal handler can't be started.
 pub async fn run(settings: ControlSettings) -> Result<(), ControlError> {
-    let (store, recovered) = open_store(&settings)?;
+    let (store, recovered) = reopener::open(&settings)?;
     let registry = MetricRegistry::new()?;
     let metrics = ControlMetrics::new(&registry);
     let holder = Arc::new(StateHolder::new());
@@ -64,7 +62,7 @@
         Arc::clone(&holder),
         metrics.clone(),
     )?;
-    let disk = start_disk(store, &handle)?;
+    let disk = reopener::start_writer(store, &handle)?;
     let peers = PeerLinks::start(settings.id, &settings.replicas, &settings.token);
     let leader_client = LeaderClient::new(handle.clone(), peers.clone(), core.applied());
     serve_processes(&settings, &handle, &peers, &leader_client, &holder)?;
@@ -95,77 +93,6 @@
     Ok(())
 }
 
-/// Opens the data folder and recovers the state that it holds.
-fn open_store(settings: &ControlSettings) -> Result<(ReplicaStore, RecoveredState), StoreError> {
-    let (store, recovered) = ReplicaStore::open(&settings.data_folder, settings.id)?;
-    log::info!(
-        target: "store",
-        "opened data folder {} with a snapshot at entry {} and {} entries after it",
-        settings.data_folder.display(),
-        recovered.snapshot.index,
-        recovered.entries.len()
-    );
-    Ok((store, recovered))
-}
-
-/// Starts the thread that writes to the disk and reports to the core.
-fn start_disk(store: ReplicaStore, handle: &CoreHandle) -> std::io::Result<DiskWriter> {
-    let reports = handle.clone();
-    DiskWriter::start(store, move |report| {
-        reports.send_blocking(CoreCall::Disk(report));
-    })
-}
-
-/// Opens the data folder again after a disk failure, with retries.
-#[derive(Debug)]
-struct StoreReopener {
-    settings: ControlSettings,
-    handle: CoreHandle,
-    /// Time of the next attempt, where the disk has failed.
-    next_attempt: Option<Instant>,
-}
-
-impl StoreReopener {
-    /// Delay before each attempt.
-    const DELAY: Duration = Duration::from_millis(250);
-
-    fn new(settings: ControlSettings, handle: CoreHandle) -> Self {
-        Self {
-            settings,
-            handle,
-            next_attempt: None,
-        }
-    }
-
-    /// Recovers the core from the data folder once an attempt is due. Returns the new disk writer where that
-    /// succeeds.
-    fn recover(&mut self, now: Instant, core: &mut ReplicaCore) -> Option<DiskWriter> {
-        if !core.has_failed_disk() {
-            return None;
-        }
-        if now < *self.next_attempt.get_or_insert(now + Self::DELAY) {
-            return None;
-        }
-        match self.reopen(now, core) {
-            Ok(disk) => {
-                self.next_attempt = None;
-                Some(disk)
-            }
-            Err(e) => {
-                log::warn!(target: "store", "data folder can't be used yet, trying again: {e}");
-                self.next_attempt = Some(now + Self::DELAY);
-                None
-            }
-        }
-    }
-
-    fn reopen(&self, now: Instant, core: &mut ReplicaCore) -> Result<DiskWriter, ControlError> {
-        let (store, recovered) = open_store(&self.settings)?;
-        core.recover(now, recovered)?;
-        Ok(start_disk(store, &self.handle)?)
-    }
-}
-
 /// Starts the gRPC server for the other replicas and the entry hosts.
 fn serve_processes(
     settings: &ControlSettings,
@@ -214,7 +141,7 @@
     loop {
         let deadline = core.deadline();
         let deadline = reopener
-            .next_attempt
+            .next_attempt()
             .map_or(deadline, |at| at.min(deadline));
         let remaining = deadline.saturating_duration_since(Instant::now());
         let call = match queue.try_recv() {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`daemon`] | start, run loop and planned stop |
 //! | [`core`] | decisions of the replica, without I/O |
 //! | [`call`] | calls to the core and their outcomes |
+//! | [`reopener`] | opening of the data folder, also after the disk failed |
 //! | [`shares`] | cap shares that the leader grants to entry hosts |
 //! | [`peers`] | links to the other replicas |
 //! | [`leader_client`] | submits tickets and confirms reads at the leader, with retries |
@@ -27,6 +28,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod peers;
+pub mod reopener;
 pub mod replica_service;
 pub mod settings;
 pub mod shares;
