--- a/crates/director/src/liveness.rs
+++ b/crates/director/src/liveness.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fleet::ids;
+use fleet::server::ServerRecord;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::hosts::HostsByName;
@@ -131,6 +132,20 @@
         }
     }
 
+    /// Records that these backend servers are listed from now on, and no others.
+    pub fn set_all_listed<'a>(
+        &mut self,
+        now: Instant,
+        servers: impl Iterator<Item = &'a ServerRecord>,
+    ) {
+        for entry in self.servers.values_mut() {
+            entry.listed = false;
+        }
+        for server in servers {
+            self.set_listed(now, &server.id, server.born);
+        }
+    }
+
     /// Records that a backend server is cold from now on. An incarnation that is known isn't thereby
     /// seen.
     pub fn set_cold(&mut self, now: Instant, id: &str, born: ids::StartTime, cold: Duration) {
--- a/crates/director/src/observer.rs
+++ b/crates/director/src/observer.rs
@@ -79,6 +79,7 @@
 
     /// Follows a replacement of the whole committed state.
     pub(crate) fn set_state(&mut self, now: Instant, state: &FleetState) {
+        self.liveness.set_all_listed(now, state.servers());
         self.quotas.set_policy(now, state.access());
         self.index = ServerIndex::new(state);
         self.loads = LoadTable::new(self.index.len());
--- a/crates/director/tests/liveness.rs
+++ b/crates/director/tests/liveness.rs
@@ -4,9 +4,10 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use director::call::{AnnounceDecision, CoreCall};
+use director::liveness::LivenessTable;
 use fleet::change::FleetUpdate;
 use fleet::command::{FleetCommand, SiteReplacement};
 use fleet::server::ServerRecord;
@@ -76,3 +77,24 @@
         assert_eq!(view.servers.get("s1"), Some(&server));
     }
 }
+
+/// A replica that got a snapshot still expected the incarnations that were listed before. It ignored the calls of a
+/// server that had restarted meanwhile, and would have removed it as silent once it was the leader.
+#[test]
+fn a_server_that_restarted_before_a_snapshot_is_not_silent() {
+    let now = Instant::now();
+    let mut table = LivenessTable::new();
+    for (id, born) in [("s1", 1_000), ("s2", 1_000)] {
+        table.record_server(now, id, born, Duration::ZERO);
+        table.set_listed(now, id, born);
+    }
+    let restarted = support::server("s1", 2_000, Duration::ZERO);
+    table.set_all_listed(now, [&restarted].into_iter());
+    let later = now + Duration::from_secs(2);
+    for id in ["s1", "s2"] {
+        table.record_server(later, id, 2_000, Duration::ZERO);
+        assert_eq!(table.last_seen(id, 2_000), Some(later), "{id}");
+    }
+    table.record_server(later, "s1", 3_000, Duration::ZERO);
+    assert_eq!(table.last_seen("s1", 2_000), Some(later));
+}
