fix(quorum): a leader whose disk has failed lets others be elected first

Cause: a leader whose disk is full opens its folder again after 250 ms. The timer of a replica that was the latest leader is that of a restart, one to two heartbeats, so it was elected before the others missed it, and failed at the next write; three times in a row in one trace.

Ruled out: load by itself (the time goes by in changes of the leader, each right after a failed write), and the folder (it opens each time).

Change: after a disk failure the election is postponed for three election timeouts, in both control programs.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -131,13 +131,14 @@
     ///
     /// Fails where the snapshot can't be decoded.
     pub fn recover(&mut self, now: Instant, recovered: RecoveredState) -> Result<(), ControlError> {
-        let core = Self::new(
+        let mut core = Self::new(
             now,
             self.settings.clone(),
             recovered,
             Arc::clone(&self.holder),
             self.metrics.clone(),
         )?;
+        core.machine.postpone_election();
         let applied = self.applied.clone();
         applied.send_replace(core.snapshot_index);
         let reports = std::mem::take(&mut self.reports);
--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -155,6 +155,12 @@
         })
     }
 
+    /// Lets other replicas be elected first, as the disk of this one has failed. Must be called before the first
+    /// call.
+    pub fn postpone_election(&mut self) {
+        self.machine.postpone_election();
+    }
+
     /// Returns the time at which [`DirectorCore::tick`] must be called next.
     pub fn deadline(&self) -> Instant {
         let deadline = self
--- a/crates/director/src/daemon.rs
+++ b/crates/director/src/daemon.rs
@@ -115,7 +115,10 @@
         task::sleep(REOPEN_DELAY).await;
         while calls.try_recv().is_ok() {}
         match open(settings, queue, metrics) {
-            Ok(opened) => return opened,
+            Ok((mut core, disk)) => {
+                core.postpone_election();
+                return (core, disk);
+            }
             Err(e) => {
                 log::warn!(target: "store", "data folder not reopened, will retry; error={e}")
             }
--- a/crates/quorum/src/machine.rs
+++ b/crates/quorum/src/machine.rs
@@ -19,6 +19,9 @@
 use crate::progress::PeerProgress;
 use crate::writes::{SyncRequirement, WriteQueue};
 
+/// Minimum election timeouts for which an election is postponed: others start theirs within two.
+const POSTPONED_TIMEOUTS: u32 = 3;
+
 /// Raft state machine of one replica.
 #[derive(Debug)]
 pub struct QuorumMachine {
@@ -297,6 +300,12 @@
         self.election_deadline = self.now + self.config.min_election_timeout + after_lease;
     }
 
+    /// Lets the other voters be elected first, as this replica's disk has failed and may fail again at the next
+    /// write. Must be called before the first event.
+    pub fn postpone_election(&mut self) {
+        self.election_deadline = self.now + self.config.min_election_timeout * POSTPONED_TIMEOUTS;
+    }
+
     /// Draws a nonce for greetings.
     pub(crate) fn draw_nonce(&mut self) -> u64 {
         self.random.random()
--- a/crates/quorum/tests/restart.rs
+++ b/crates/quorum/tests/restart.rs
@@ -94,3 +94,18 @@
     cluster.heal();
     cluster.converge().unwrap();
 }
+
+/// A leader whose disk was full opened its folder again, was elected before the others had noticed, and failed at the
+/// next write, again and again: no change was accepted for seconds.
+#[test]
+fn another_replica_is_elected_after_the_disk_of_the_leader_failed() {
+    for seed in 1..=40 {
+        let mut cluster = SimulatedCluster::running(seed);
+        let leader = cluster.leader().expect("a leader");
+        cluster.fail_disk(leader);
+        cluster.run_for(MIN_ELECTION_TIMEOUT * 5 / 2).unwrap();
+        let next = cluster.leader().expect("a leader");
+        assert_ne!(next, leader, "seed {seed}");
+        cluster.converge().unwrap();
+    }
+}
--- a/crates/quorum/tests/support/cluster.rs
+++ b/crates/quorum/tests/support/cluster.rs
@@ -178,6 +178,14 @@
         node.machine = Some(machine);
     }
 
+    /// Fails the disk of a replica for a short time; the replica goes on with what the disk holds.
+    pub fn fail_disk(&mut self, id: ids::ReplicaId) {
+        self.crash(id);
+        self.start(id);
+        let machine = self.nodes.get_mut(&id).unwrap().machine.as_mut().unwrap();
+        machine.postpone_election();
+    }
+
     pub fn crash(&mut self, id: ids::ReplicaId) {
         let Some(node) = self.nodes.get_mut(&id) else {
             return;
