--- a/crates/director/src/core.rs
+++ b/crates/director/src/core.rs
@@ -510,34 +510,35 @@
         let state = self.replicated.state();
         let mut verdict = state.judge(&announcement);
         if verdict != AnnouncementVerdict::Unchanged {
+            // Only a call that changes something is worth a look at all servers.
             let holders = state.holders(record);
             let silent = holders.filter(|holder| !self.is_announcing(now, holder));
             announcement.silent = Some(silent.map(ServerRecord::incarnation).collect());
             verdict = state.judge(&announcement);
         }
         let record = &announcement.record;
-        if let AnnouncementVerdict::Contested(holder) = verdict {
-            log::info!(
-                target: "claims",
-                "announcement passed over, as another server holds its address or id; server={} born={} service={} address={} holder={} holder_born={}",
-                record.id, record.born, record.service, record.address, holder.id, holder.born,
-            );
-            return AnnounceDecision::Contested;
-        }
-        if verdict != AnnouncementVerdict::Returning {
-            self.observer
-                .liveness
-                .record_server(now, &record.id, record.born, record.cold);
-        }
+        let liveness = &mut self.observer.liveness;
         match verdict {
-            AnnouncementVerdict::Listed(_) => AnnounceDecision::Propose(announcement),
+            AnnouncementVerdict::Unchanged => {
+                liveness.record_server(now, &record.id, record.born, record.cold);
+                AnnounceDecision::Unchanged
+            }
+            AnnouncementVerdict::Listed(_) => {
+                liveness.record_server(now, &record.id, record.born, record.cold);
+                AnnounceDecision::Propose(announcement)
+            }
+            AnnouncementVerdict::Contested(holder) => {
+                log::info!(
+                    target: "claims",
+                    "announcement passed over, as another server holds its address or id; server={} born={} service={} address={} holder={} holder_born={}",
+                    record.id, record.born, record.service, record.address, holder.id, holder.born,
+                );
+                AnnounceDecision::Contested
+            }
             AnnouncementVerdict::Returning => {
                 log::info!(target: "claims", "announcement of a server that has left, counted towards its return; server={} born={} sequence={}", record.id, record.born, announcement.sequence);
                 AnnounceDecision::Propose(announcement)
             }
-            AnnouncementVerdict::Unchanged | AnnouncementVerdict::Contested(_) => {
-                AnnounceDecision::Unchanged
-            }
         }
     }
 
--- a/crates/wire/tests/http.rs
+++ b/crates/wire/tests/http.rs
@@ -35,6 +35,13 @@
     socket
 }
 
+async fn connect(address: SocketAddr) -> HttpConnection<Full<Bytes>> {
+    let stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let builder = http1::Builder::new();
+    let connection = HttpConnection::start::<OpenError>(stream, builder, ());
+    connection.await.unwrap()
+}
+
 /// Reads until the connection ends, and returns the number of bytes and how it ended.
 fn read_all(mut stream: TcpStream) -> (usize, Option<ErrorKind>) {
     let mut buffer = [0; 4_096];
@@ -55,11 +62,7 @@
     let listener = narrow_listener();
     let address = listener.local_addr().unwrap().as_socket().unwrap();
     task::block_on(async {
-        let stream = tokio::net::TcpStream::connect(address).await.unwrap();
-        let builder = http1::Builder::new();
-        let mut connection = HttpConnection::start::<OpenError>(stream, builder, ())
-            .await
-            .unwrap();
+        let mut connection = connect(address).await;
         connection.begin_head();
         let body = Full::new(Bytes::from(vec![b'x'; BODY_BYTES]));
         let request = Request::post("/").body(body).unwrap();
@@ -80,12 +83,7 @@
     let listener = narrow_listener();
     let address = listener.local_addr().unwrap().as_socket().unwrap();
     task::block_on(async {
-        let stream = tokio::net::TcpStream::connect(address).await.unwrap();
-        let builder = http1::Builder::new();
-        let mut connection: HttpConnection<Full<Bytes>> =
-            HttpConnection::start::<OpenError>(stream, builder, ())
-                .await
-                .unwrap();
+        let mut connection = connect(address).await;
         connection.begin_head();
         connection.end_exchange();
     });
