fix(gateway): open connections follow the idle timeout in force

Cause: a connection kept the limits that were in force when it was opened. After an operator had raised idle_timeout, clients went by the new value, and the host closed connections at the former one, with requests on their way.

Change: a clock of the connection asks the configuration in force when the time is over, and allows 3 s more, for what is in transit and for a configuration that reaches the host late. hyper's limit for reading a head is off, as it can't follow; heads of connections that go on are bounded by the same clock.

Before: platform/tests/idle.rs failed for reads and entries (connection closed). After: both pass, and so do the suites of gateway and, of platform, requests, endless, shutdown and pauses.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`proximity`] | control replicas nearby |
 //! | [`server`] | client connections and graceful shutdown |
 //! | [`pipeline`] | client connections with pipelined requests |
+//! | `idle` | time for which a client connection may be idle |
 //! | [`stream`] | client socket that detects a disconnect |
 //! | [`access`] | whose request it is, and where it may run |
 //! | `intake` | checks of a request before it is forwarded |
@@ -33,6 +34,7 @@
 pub mod buffer;
 pub mod follower;
 pub mod forwarder;
+mod idle;
 mod intake;
 pub mod limit;
 pub mod load;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -4,11 +4,8 @@
 //! with the parser that hyper uses, runs them concurrently and writes their answers in order. A
 //! connection that receives anything else is handed over to hyper.
 
-use std::time::Duration;
-
 use async_std::task;
 use bytes::{Buf, Bytes, BytesMut};
-use fleet::site::ClientLimits;
 use futures_util::future::{self, BoxFuture, Either};
 use futures_util::stream::{FuturesOrdered, StreamExt};
 use http::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH};
@@ -21,7 +18,9 @@
 
 use crate::answer::AnswerBody;
 use crate::attempt;
+use crate::idle::IdleClock;
 use crate::server::{self, ServerPhase};
+use crate::state::GatewayState;
 use crate::stream::ClientStream;
 
 /// Maximum number of requests of one connection that run at the same time.
@@ -58,10 +57,12 @@
     Unsupported,
 }
 
-/// Serves a connection until it ends or is handed over to hyper; `answer` answers one request.
+/// Serves a connection until it ends or is handed over to hyper; `answer` answers one request. Heads have at most
+/// `max_header_bytes` bytes.
 pub async fn serve<'a, F>(
     stream: &ClientStream,
-    limits: &ClientLimits,
+    state: &GatewayState,
+    max_header_bytes: usize,
     phase: &mut watch::Receiver<ServerPhase>,
     answer: F,
 ) -> PipelineEnd
@@ -81,7 +82,7 @@
         let is_stopping = *phase.borrow() >= ServerPhase::Stopping;
         open &= !is_stopping || answers.is_empty();
         while open && !unsupported && answers.len() < MAX_PIPELINED {
-            match parse_head(&buffer, limits.max_header_bytes) {
+            match parse_head(&buffer, max_header_bytes) {
                 PipelineHead::Partial => break,
                 PipelineHead::Unsupported => unsupported = true,
                 PipelineHead::Complete(parts, length) => {
@@ -105,7 +106,7 @@
             let next = std::pin::pin!(next_answer(&mut answers));
             let read = std::pin::pin!(read_more(&mut reader, &mut buffer, reads));
             let disconnected = std::pin::pin!(stream.disconnected());
-            let idle = std::pin::pin!(idle_end(phase, limits.idle_timeout, answers_left == 0));
+            let idle = std::pin::pin!(idle_end(phase, state, answers_left == 0));
             let ends = future::select(disconnected, idle);
             match future::select(next, future::select(read, ends)).await {
                 Either::Left((answer, _)) => PipelineEvent::Answer(answer),
@@ -169,13 +170,14 @@
 
 /// Waits until an idle connection ends: the idle timeout has passed or the server closes idle
 /// connections. Waits forever unless `is_idle` is set.
-async fn idle_end(phase: &mut watch::Receiver<ServerPhase>, idle_timeout: Duration, is_idle: bool) {
+async fn idle_end(phase: &mut watch::Receiver<ServerPhase>, state: &GatewayState, is_idle: bool) {
     if !is_idle {
         return future::pending().await;
     }
     let closing = std::pin::pin!(server::wait_phase(phase, ServerPhase::ClosingIdle));
-    let timeout = std::pin::pin!(tokio::time::sleep(idle_timeout));
-    let _ = future::select(closing, timeout).await;
+    let clock = IdleClock::new(state);
+    let expired = std::pin::pin!(clock.expired());
+    let _ = future::select(closing, expired).await;
 }
 
 /// Reads bytes into the buffer; waits forever unless `reads` is set.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -11,7 +11,6 @@
 use async_std::task;
 use bytes::Bytes;
 use director::directory;
-use fleet::site::ClientLimits;
 use futures_util::future::{self, Either, FutureExt};
 use http::header::{HeaderValue, CONNECTION};
 use http::request::Parts;
@@ -28,6 +27,7 @@
 
 use crate::answer::{AnswerBody, HostAnswer};
 use crate::forwarder::{ForwardEnd, RequestForwarder};
+use crate::idle::IdleClock;
 use crate::intake;
 use crate::pipeline::{self, PipelineEnd};
 use crate::stream::ClientStream;
@@ -201,25 +201,36 @@
     }
 
     async fn serve_stream(&self, stream: ClientStream) {
-        let limits = self.forwarder.sender().state.routes().site.limits.clone();
+        let state = &self.forwarder.sender().state;
+        let max_header_bytes = state.routes().site.limits.max_header_bytes;
         let mut phase = self.phase.subscribe();
         let answer = |parts: Parts| self.serve_request(parts, None).boxed();
-        match pipeline::serve(&stream, &limits, &mut phase, answer).await {
+        match pipeline::serve(&stream, state, max_header_bytes, &mut phase, answer).await {
             PipelineEnd::Disconnected => {}
             PipelineEnd::Complete => stream.lingering_close().await,
             PipelineEnd::HandOver(buffered) => {
-                self.serve_sequential(stream, buffered, &limits).await
+                self.serve_sequential(stream, buffered, max_header_bytes)
+                    .await
             }
         }
     }
 
     /// Serves a connection with hyper, one request at a time; `buffered` holds the bytes that were
     /// read from the stream before.
-    async fn serve_sequential(&self, stream: ClientStream, buffered: Bytes, limits: &ClientLimits) {
+    async fn serve_sequential(
+        &self,
+        stream: ClientStream,
+        buffered: Bytes,
+        max_header_bytes: usize,
+    ) {
+        let clock = IdleClock::new(&self.forwarder.sender().state);
         let service = service_fn(|request: Request<Incoming>| {
             let (parts, body) = request.into_parts();
+            let clock = &clock;
             Box::pin(async move {
+                clock.begin_request();
                 let mut response = self.serve_request(parts, Some(body)).await;
+                clock.end_request();
                 if *self.phase.borrow() != ServerPhase::Serving {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
@@ -227,19 +238,21 @@
                 Ok::<_, Infallible>(response)
             })
         });
-        // hyper's time limit for reading a head also applies while a connection is idle, so it must
-        // not be shorter than the idle timeout.
+        // hyper's time limit for reading a head also applies while a connection is idle, and can't follow the
+        // configuration, so the clock bounds both.
         let input = Cursor::new(buffered).chain(stream.clone());
         let io = TokioIo::new(tokio::io::join(input, stream.clone()));
         let mut http = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
-            .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
+            .header_read_timeout(None)
+            .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(io, service);
         let mut phase = self.phase.subscribe();
         let end = {
             let disconnected = std::pin::pin!(stream.disconnected());
             let closing = std::pin::pin!(wait_phase(&mut phase, ServerPhase::ClosingIdle));
+            let expired = std::pin::pin!(clock.expired());
+            let closing = future::select(closing, expired);
             let serving = future::poll_fn(|cx| http.poll_without_shutdown(cx));
             match future::select(serving, future::select(disconnected, closing)).await {
                 Either::Left(_) => ServingEnd::Complete,
