feat(gateway): log and count how client connections end

Why: no line told why a host ended a connection, what arrived after it, or how long a connection had been idle, so three hypotheses on LOST could not be told apart.

Change: a cause for each end with a counter, a line for bytes that are discarded while a connection closes (with the request's id), and one for a request after more idle time than the limit. One idle clock serves a connection in both ways of serving it. Logic of closing is unchanged.

--- a/crates/gateway/src/idle.rs
+++ b/crates/gateway/src/idle.rs
@@ -26,18 +26,20 @@
         }
     }
 
-    /// Records that a request is being served.
-    pub(crate) fn begin_request(&self) {
-        self.set(None);
+    /// Records that a request is being served. Returns the time for which the connection was idle.
+    pub(crate) fn begin_request(&self) -> Duration {
+        let idle_since = self.lock().take();
+        idle_since.map_or(Duration::ZERO, |since| since.elapsed())
     }
 
-    /// Records that no request is being served any more.
-    pub(crate) fn end_request(&self) {
-        self.set(Some(Instant::now()));
+    /// Records that no request is being served any more, or that bytes of the next one came.
+    pub(crate) fn restart(&self) {
+        *self.lock() = Some(Instant::now());
     }
 
-    fn set(&self, idle_since: Option<Instant>) {
-        *self.lock() = idle_since;
+    /// Returns the longest idle time that the configuration in force allows.
+    pub(crate) fn limit(&self) -> Duration {
+        self.state.routes().site.limits.idle_timeout
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
@@ -50,7 +52,7 @@
     /// change meanwhile.
     pub(crate) async fn expired(&self) {
         loop {
-            let limit = self.state.routes().site.limits.idle_timeout + IDLE_MARGIN;
+            let limit = self.limit() + IDLE_MARGIN;
             let idle_since = *self.lock();
             let idle = idle_since.map_or(Duration::ZERO, |since| since.elapsed());
             let left = limit.saturating_sub(idle);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`proximity`] | control replicas nearby |
 //! | [`server`] | client connections and graceful shutdown |
 //! | [`pipeline`] | client connections with pipelined requests |
+//! | [`close`] | why client connections end |
 //! | `idle` | time for which a client connection may be idle |
 //! | [`stream`] | client socket that detects a disconnect |
 //! | [`access`] | whose request it is, and where it may run |
@@ -32,6 +33,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod buffer;
+pub mod close;
 pub mod follower;
 pub mod forwarder;
 mod idle;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use telemetry::metrics::MetricRegistry;
 
 use crate::answer::HostAnswer;
+use crate::close::CloseCause;
 
 /// Bucket boundaries of the latency histograms.
 const LATENCY_BOUNDARIES_SECONDS: [f64; 12] = [
@@ -68,6 +69,7 @@
     attempt_seconds: Histogram<f64>,
     access: Counter<u64>,
     refusals: Counter<u64>,
+    closes: Counter<u64>,
     /// Organisations that have a counter of their own.
     counted: Arc<Mutex<BTreeSet<String>>>,
 }
@@ -103,6 +105,10 @@
                 .u64_counter("wisteria_refusals")
                 .with_description("Refusals for lack of a backend server, by rank and cause")
                 .build(),
+            closes: meter
+                .u64_counter("wisteria_client_closes")
+                .with_description("Ends of client connections, by cause")
+                .build(),
             counted: Arc::default(),
         }
     }
@@ -141,6 +147,12 @@
         self.refusals.add(1, &[KeyValue::new("rank", rank), cause]);
     }
 
+    /// Records the end of a client connection.
+    pub fn record_close(&self, cause: CloseCause) {
+        let cause: &'static str = cause.into();
+        self.closes.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Returns the label of an organisation, which is its name for a bounded number of organisations.
     fn label<'a>(&self, name: &'a str) -> &'a str {
         let mut counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -18,9 +18,9 @@
 
 use crate::answer::AnswerBody;
 use crate::attempt;
+use crate::close::CloseCause;
 use crate::idle::IdleClock;
 use crate::server::{self, ServerPhase};
-use crate::state::GatewayState;
 use crate::stream::ClientStream;
 
 /// Maximum number of requests of one connection that run at the same time.
@@ -37,9 +37,9 @@
 
 /// How the pipelined serving of a connection ended.
 #[derive(Debug)]
-pub enum PipelineEnd {
+pub(crate) enum PipelineEnd {
     /// All requests are answered, and the caller has to close the connection.
-    Complete,
+    Complete(CloseCause),
     /// The client disconnected; its unanswered requests are cancelled.
     Disconnected,
     /// hyper has to serve the rest of the connection, beginning with the given unparsed bytes.
@@ -59,9 +59,9 @@
 
 /// Serves a connection until it ends or is handed over to hyper; `answer` answers one request. Heads have at most
 /// `max_header_bytes` bytes.
-pub async fn serve<'a, F>(
+pub(crate) async fn serve<'a, F>(
     stream: &ClientStream,
-    state: &GatewayState,
+    clock: &IdleClock<'_>,
     max_header_bytes: usize,
     phase: &mut watch::Receiver<ServerPhase>,
     answer: F,
@@ -97,7 +97,10 @@
                 return PipelineEnd::HandOver(buffer.freeze());
             }
             if !open {
-                return PipelineEnd::Complete;
+                return PipelineEnd::Complete(CloseCause::Announced);
+            }
+            if !buffer.is_empty() {
+                clock.restart();
             }
         }
         let reads = open && !unsupported && answers.len() < MAX_PIPELINED;
@@ -106,7 +109,7 @@
             let next = std::pin::pin!(next_answer(&mut answers));
             let read = std::pin::pin!(read_more(&mut reader, &mut buffer, reads));
             let disconnected = std::pin::pin!(stream.disconnected());
-            let idle = std::pin::pin!(idle_end(phase, state, answers_left == 0));
+            let idle = std::pin::pin!(idle_end(phase, clock, answers_left == 0));
             let ends = future::select(disconnected, idle);
             match future::select(next, future::select(read, ends)).await {
                 Either::Left((answer, _)) => PipelineEvent::Answer(answer),
@@ -114,7 +117,9 @@
                 Either::Right((Either::Right((Either::Left(_), _)), _)) => {
                     PipelineEvent::Disconnected
                 }
-                Either::Right((Either::Right((Either::Right(_), _)), _)) => PipelineEvent::Idle,
+                Either::Right((Either::Right((Either::Right((cause, _)), _)), _)) => {
+                    PipelineEvent::End(cause)
+                }
             }
         };
         match event {
@@ -127,6 +132,9 @@
                 if write_answer(&mut writer, answer, last).await.is_err() {
                     return PipelineEnd::Disconnected;
                 }
+                if answers.is_empty() {
+                    clock.restart();
+                }
                 // A client whose requests are all answered at once would keep the thread for as long
                 // as it sends.
                 written += 1;
@@ -135,13 +143,13 @@
                 }
             }
             PipelineEvent::Read(Ok(0)) | PipelineEvent::Disconnected if answers.is_empty() => {
-                return PipelineEnd::Complete;
+                return PipelineEnd::Complete(CloseCause::Disconnected);
             }
             PipelineEvent::Read(Ok(0) | Err(_)) | PipelineEvent::Disconnected => {
                 return PipelineEnd::Disconnected;
             }
             PipelineEvent::Read(Ok(_)) => {}
-            PipelineEvent::Idle => return PipelineEnd::Complete,
+            PipelineEvent::End(cause) => return PipelineEnd::Complete(cause),
         }
     }
 }
@@ -154,8 +162,8 @@
     Read(std::io::Result<usize>),
     /// The client closed its side of the connection.
     Disconnected,
-    /// No request is unanswered, and the idle timeout has passed or the server closes idle connections.
-    Idle,
+    /// No request is unanswered, and the connection ends for the given cause.
+    End(CloseCause),
 }
 
 /// Waits for the answer to the oldest unanswered request; forever if there is none.
@@ -170,14 +178,20 @@
 
 /// Waits until an idle connection ends: the idle timeout has passed or the server closes idle
 /// connections. Waits forever unless `is_idle` is set.
-async fn idle_end(phase: &mut watch::Receiver<ServerPhase>, state: &GatewayState, is_idle: bool) {
+async fn idle_end(
+    phase: &mut watch::Receiver<ServerPhase>,
+    clock: &IdleClock<'_>,
+    is_idle: bool,
+) -> CloseCause {
     if !is_idle {
         return future::pending().await;
     }
     let closing = std::pin::pin!(server::wait_phase(phase, ServerPhase::ClosingIdle));
-    let clock = IdleClock::new(state);
     let expired = std::pin::pin!(clock.expired());
-    let _ = future::select(closing, expired).await;
+    match future::select(closing, expired).await {
+        Either::Left(_) => CloseCause::Shutdown,
+        Either::Right(_) => CloseCause::Idle,
+    }
 }
 
 /// Reads bytes into the buffer; waits forever unless `reads` is set.
@@ -207,6 +221,16 @@
     }
 }
 
+/// Returns the value of a header in a request head at the start of `bytes`, whose rest may be missing.
+pub(crate) fn header_value<'a>(bytes: &'a [u8], name: &HeaderName) -> Option<&'a str> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    head.parse(bytes).ok()?;
+    let mut headers = head.headers.iter();
+    let header = headers.find(|header| header.name.eq_ignore_ascii_case(name.as_str()))?;
+    std::str::from_utf8(header.value).ok()
+}
+
 /// Returns the parts of a request that certainly has no body: an HTTP/1.1 `GET` without headers
 /// that announce a body, an upgrade or an expectation.
 fn bodiless_parts(head: &httparse::Request<'_, '_>) -> Option<Parts> {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -26,11 +26,12 @@
 use wire::backlog;
 
 use crate::answer::{AnswerBody, HostAnswer};
+use crate::close::CloseCause;
 use crate::forwarder::{ForwardEnd, RequestForwarder};
 use crate::idle::IdleClock;
 use crate::intake;
 use crate::pipeline::{self, PipelineEnd};
-use crate::stream::ClientStream;
+use crate::stream::{ClientStream, DiscardedInput};
 
 /// Longest time for which a client may leave sent bytes unacknowledged.
 const CLIENT_USER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -189,7 +190,7 @@
             .set_tcp_nodelay(true)
             .and_then(|()| options.set_tcp_user_timeout(Some(CLIENT_USER_TIMEOUT)));
         match set {
-            Ok(()) => self.serve_stream(ClientStream::new(socket)).await,
+            Ok(()) => self.serve_stream(ClientStream::new(socket), peer).await,
             Err(e) => {
                 log::info!(
                     target: "clients",
@@ -200,37 +201,58 @@
         self.connections.fetch_sub(1, Ordering::AcqRel);
     }
 
-    async fn serve_stream(&self, stream: ClientStream) {
-        let state = &self.forwarder.sender().state;
-        let max_header_bytes = state.routes().site.limits.max_header_bytes;
+    async fn serve_stream(&self, stream: ClientStream, peer: SocketAddr) {
+        let sender = self.forwarder.sender();
+        let max_header_bytes = sender.state.routes().site.limits.max_header_bytes;
+        let clock = IdleClock::new(&sender.state);
         let mut phase = self.phase.subscribe();
-        let answer = |parts: Parts| self.serve_request(parts, None).boxed();
-        match pipeline::serve(&stream, state, max_header_bytes, &mut phase, answer).await {
-            PipelineEnd::Disconnected => {}
-            PipelineEnd::Complete => stream.lingering_close().await,
+        let answer = |parts: Parts| self.serve_request(parts, None, &clock).boxed();
+        let end = pipeline::serve(&stream, &clock, max_header_bytes, &mut phase, answer).await;
+        let cause = match end {
+            PipelineEnd::Disconnected => CloseCause::Disconnected,
+            PipelineEnd::Complete(cause) => cause,
             PipelineEnd::HandOver(buffered) => {
-                self.serve_sequential(stream, buffered, max_header_bytes)
+                self.serve_sequential(&stream, buffered, max_header_bytes, &clock)
                     .await
             }
+        };
+        sender.metrics.record_close(cause);
+        if cause == CloseCause::Disconnected {
+            return;
         }
+        if let Some(input) = stream.lingering_close().await {
+            self.log_discarded(peer, cause, &input);
+        }
+    }
+
+    /// Logs bytes that arrived while a connection was being closed.
+    fn log_discarded(&self, peer: SocketAddr, cause: CloseCause, input: &DiscardedInput) {
+        let cause: &'static str = cause.into();
+        let id_header = &self.forwarder.sender().names.request_id;
+        log::info!(
+            target: "clients",
+            "bytes discarded that arrived while the connection was being closed; peer={peer} cause={cause} request={} \
+             bytes={} delay_ms={}",
+            pipeline::header_value(&input.first, id_header).unwrap_or_default(),
+            input.bytes,
+            input.delay.as_millis()
+        );
     }
 
     /// Serves a connection with hyper, one request at a time; `buffered` holds the bytes that were
     /// read from the stream before.
     async fn serve_sequential(
         &self,
-        stream: ClientStream,
+        stream: &ClientStream,
         buffered: Bytes,
         max_header_bytes: usize,
-    ) {
-        let clock = IdleClock::new(&self.forwarder.sender().state);
+        clock: &IdleClock<'_>,
+    ) -> CloseCause {
         let service = service_fn(|request: Request<Incoming>| {
             let (parts, body) = request.into_parts();
-            let clock = &clock;
             Box::pin(async move {
-                clock.begin_request();
-                let mut response = self.serve_request(parts, Some(body)).await;
-                clock.end_request();
+                let mut response = self.serve_request(parts, Some(body), clock).await;
+                clock.restart();
                 if *self.phase.borrow() != ServerPhase::Serving {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
@@ -257,29 +279,49 @@
             match future::select(serving, future::select(disconnected, closing)).await {
                 Either::Left(_) => ServingEnd::Complete,
                 Either::Right((Either::Left(_), _)) => ServingEnd::Disconnected,
-                Either::Right((Either::Right(_), _)) => ServingEnd::Closing,
+                Either::Right((Either::Right((Either::Left(_), _)), _)) => {
+                    ServingEnd::Closing(CloseCause::Shutdown)
+                }
+                Either::Right((Either::Right((Either::Right(_), _)), _)) => {
+                    ServingEnd::Closing(CloseCause::Idle)
+                }
             }
         };
         match end {
-            ServingEnd::Complete => {}
-            ServingEnd::Disconnected => return,
-            ServingEnd::Closing => {
+            ServingEnd::Complete => CloseCause::Announced,
+            ServingEnd::Disconnected => CloseCause::Disconnected,
+            ServingEnd::Closing(cause) => {
                 Pin::new(&mut http).graceful_shutdown();
                 let disconnected = std::pin::pin!(stream.disconnected());
                 let serving = future::poll_fn(|cx| http.poll_without_shutdown(cx));
                 let _ = future::select(serving, disconnected).await;
+                cause
             }
         }
-        drop(http);
-        stream.lingering_close().await;
     }
 
     /// Answers a request, and records the answer. `body` is `None` for a request without a body.
-    async fn serve_request(&self, parts: Parts, body: Option<Incoming>) -> Response<AnswerBody> {
+    async fn serve_request(
+        &self,
+        parts: Parts,
+        body: Option<Incoming>,
+        clock: &IdleClock<'_>,
+    ) -> Response<AnswerBody> {
         let started_at = Instant::now();
+        let idle = clock.begin_request();
         let sender = self.forwarder.sender();
         let names = &sender.names;
         let id = parts.headers.get(&names.request_id).cloned();
+        let limit = clock.limit();
+        if idle > limit {
+            log::info!(
+                target: "clients",
+                "a request came after a longer idle time than the limit; request={} idle_ms={} limit_ms={}",
+                id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default(),
+                idle.as_millis(),
+                limit.as_millis()
+            );
+        }
         let answer = match self.forward_until_finishing(parts, body).await {
             Ok(ForwardEnd::Server(answer)) => {
                 let status = answer.status().as_u16();
@@ -352,8 +394,8 @@
     Complete,
     /// The client disconnected.
     Disconnected,
-    /// The server closes idle connections.
-    Closing,
+    /// The server closes the connection for the given cause.
+    Closing(CloseCause),
 }
 
 /// Waits until the server is in the given phase or a later one.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,7 +7,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -25,6 +25,17 @@
 /// Reads in a row that find bytes, after which the task yields.
 const MAX_READS_IN_A_ROW: u32 = 16;
 
+/// Bytes that a client sent after the host had closed its side of the connection.
+#[derive(Debug)]
+pub struct DiscardedInput {
+    /// Number of bytes.
+    pub bytes: usize,
+    /// The first of them.
+    pub first: Vec<u8>,
+    /// Time from the close of the host's side to the arrival of the first bytes.
+    pub delay: Duration,
+}
+
 /// A handle to a client socket; clones share the socket.
 #[derive(Debug, Clone)]
 pub struct ClientStream {
@@ -56,22 +67,33 @@
 
     /// Closes the writing side, then reads and discards bytes until the client closes its side, has sent
     /// too many, or a timeout passes. Closing the socket with unread bytes at once would reset the
-    /// connection, and the client could lose the last answer.
-    pub async fn lingering_close(&self) {
+    /// connection, and the client could lose the last answer. Returns what was discarded.
+    pub async fn lingering_close(&self) -> Option<DiscardedInput> {
         let shutdown = socket2::SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write);
         if shutdown.is_err() {
-            return;
+            return None;
         }
+        let closed_at = Instant::now();
+        let mut discarded: Option<DiscardedInput> = None;
         let reading = async {
             let mut scratch = vec![0; 4096];
-            let mut discarded = 0;
-            while discarded < MAX_LINGER_BYTES {
+            loop {
                 if self.socket.readable().await.is_err() {
                     return;
                 }
                 match self.socket.try_read(&mut scratch) {
                     Ok(0) => return,
-                    Ok(count) => discarded += count,
+                    Ok(count) => {
+                        let input = discarded.get_or_insert_with(|| DiscardedInput {
+                            bytes: 0,
+                            first: scratch[..count].to_vec(),
+                            delay: closed_at.elapsed(),
+                        });
+                        input.bytes += count;
+                        if input.bytes >= MAX_LINGER_BYTES {
+                            return;
+                        }
+                    }
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                     Err(_) => return,
                 }
@@ -80,6 +102,7 @@
             }
         };
         let _ = tokio::time::timeout(LINGER_TIMEOUT, reading).await;
+        discarded
     }
 }
 
