fix(gateway): a request that crosses the end of its connection is never read

Cause: half of the clients keep idle connections for 20 s unless an answer names another time. Hosts named none and ended them after 18 s; then they read and discarded what came for up to 500 ms, also requests that crossed the end. An idle connection at the end of a shutdown, and one that hyper ended after an early answer to an unread body, ended in the same way.

Change, one rule for every end: either the last answer announces it, or nothing of a further request has been read and the socket is closed without reading on, so that the kernel resets what crosses. What waits is served; a head that has begun has header_timeout and else gets 408; a body that is refused unread is read on shortly, or the answer announces the end. Answers that leave the connection open name the idle time, and a lowered limit doesn't shorten it.

Ruled out: dropping the socket at each end, as it takes the last answer from clients that are still sending; an answer 503 after the end, as it comes behind the end of the stream.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -37,6 +37,8 @@
         /// Time after which the client may retry.
         retry_after: Duration,
     },
+    /// The head of the request didn't arrive in time, so the request didn't run and won't.
+    LateHead,
     /// The request was sent to a backend server and may have run; the reason says why there is no
     /// answer.
     Unknown(&'static str),
@@ -54,6 +56,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::LateHead => StatusCode::REQUEST_TIMEOUT,
             Self::Unknown(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -68,6 +71,7 @@
             Self::TooLarge => "the body is too large".to_string(),
             Self::Malformed(reason) => (*reason).to_string(),
             Self::NotRun { cause, .. } => format!("not run: {cause}"),
+            Self::LateHead => "not run: the head of the request didn't arrive in time".to_string(),
             Self::Unknown(reason) => format!("may have run: {reason}"),
             Self::TimedOut => "may have run: no answer in time".to_string(),
         }
@@ -83,6 +87,7 @@
             | Self::UnknownKey
             | Self::TooLarge
             | Self::Malformed(_)
+            | Self::LateHead
             | Self::Unknown(_)
             | Self::TimedOut => None,
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,6 +20,7 @@
 use wire::status;
 
 use crate::buffer::{BufferBudget, BufferError};
+use crate::close::KEEP_ALIVE;
 use crate::limit::LimitReading;
 use crate::load::LoadReading;
 use crate::metrics::GatewayMetrics;
@@ -31,9 +32,6 @@
 /// Size limit of an answer's body; an attempt with a larger one fails.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
-/// Header in which a backend server announces its idle timeout.
-const KEEP_ALIVE: &str = "keep-alive";
-
 /// Result of an attempt.
 #[derive(Debug)]
 pub enum AttemptResult {
@@ -290,7 +288,7 @@
         response: Response<Incoming>,
     ) -> AttemptOutcome {
         let address = chosen.record.address;
-        let (mut parts, body) = response.into_parts();
+        let (mut parts, mut body) = response.into_parts();
         let id = parts.headers.get(&self.names.request_id);
         let id_matches = id.map(|id| id.as_bytes() == request.id.as_bytes());
         if id_matches == Some(false) {
@@ -306,7 +304,7 @@
         }
         let load = self.reported_load(chosen, &parts.headers);
         connection.http.begin_body(MAX_ANSWER_BYTES);
-        let body = match self.buffers.collect(body, MAX_ANSWER_BYTES).await {
+        let body = match self.buffers.collect(&mut body, MAX_ANSWER_BYTES).await {
             Ok(body) => body,
             Err(BufferError::TooLarge) => return oversized("a body over the limit"),
             Err(_) if connection.http.is_exhausted() => return oversized("a body without end"),
--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -84,7 +84,7 @@
     /// Fails if the body is too large, if there is no room for it, or if its connection fails.
     pub async fn collect(
         &self,
-        mut body: Incoming,
+        body: &mut Incoming,
         max_bytes: usize,
     ) -> Result<Bytes, BufferError> {
         let announced = body.size_hint().lower();
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -39,7 +39,7 @@
     last_deadline: Option<Instant>,
     now: Instant,
     parts: Parts,
-    body: Option<Incoming>,
+    body: Option<&mut Incoming>,
 ) -> Result<ForwardRequest, HostAnswer> {
     let (state, names) = (&sender.state, &sender.names);
     let mut headers = parts.headers;
@@ -222,7 +222,7 @@
 /// Reads a body of at most `max_bytes` bytes until the deadline.
 async fn read_body(
     buffers: &BufferBudget,
-    body: Option<Incoming>,
+    body: Option<&mut Incoming>,
     max_bytes: u64,
     deadline: Instant,
 ) -> Result<Bytes, HostAnswer> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,8 +13,9 @@
 //! | [`proximity`] | control replicas nearby |
 //! | [`server`] | client connections and graceful shutdown |
 //! | [`pipeline`] | client connections with pipelined requests |
-//! | [`close`] | why client connections end |
-//! | `idle` | time for which a client connection may be idle |
+//! | [`close`] | when client connections end, and why |
+//! | `sequential` | client connections with requests that have a body |
+//! | `life` | state of a client connection over its life |
 //! | [`stream`] | client socket that detects a disconnect |
 //! | [`access`] | whose request it is, and where it may run |
 //! | `intake` | checks of a request before it is forwarded |
@@ -36,8 +37,8 @@
 pub mod close;
 pub mod follower;
 pub mod forwarder;
-mod idle;
 mod intake;
+mod life;
 pub mod limit;
 pub mod load;
 pub mod metrics;
@@ -47,6 +48,7 @@
 mod quotas;
 mod refusal;
 pub mod request;
+mod sequential;
 pub mod server;
 pub mod settings;
 pub mod state;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -4,11 +4,13 @@
 //! with the parser that hyper uses, runs them concurrently and writes their answers in order. A
 //! connection that receives anything else is handed over to hyper.
 
+use std::io::ErrorKind;
+
 use async_std::task;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::future::{self, BoxFuture, Either};
 use futures_util::stream::{FuturesOrdered, StreamExt};
-use http::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH};
+use http::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH};
 use http::header::{EXPECT, TRANSFER_ENCODING, UPGRADE};
 use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
@@ -18,9 +20,9 @@
 
 use crate::answer::AnswerBody;
 use crate::attempt;
-use crate::close::CloseCause;
-use crate::idle::IdleClock;
-use crate::server::{self, ServerPhase};
+use crate::close::{CloseCause, Continuation};
+use crate::life::ConnectionLife;
+use crate::server::ServerPhase;
 use crate::stream::ClientStream;
 
 /// Maximum number of requests of one connection that run at the same time.
@@ -38,10 +40,8 @@
 /// How the pipelined serving of a connection ended.
 #[derive(Debug)]
 pub(crate) enum PipelineEnd {
-    /// All requests are answered, and the caller has to close the connection.
-    Complete(CloseCause),
-    /// The client disconnected; its unanswered requests are cancelled.
-    Disconnected,
+    /// The connection ends. Unanswered requests of a client that disconnected are cancelled.
+    Close(CloseCause),
     /// hyper has to serve the rest of the connection, beginning with the given unparsed bytes.
     HandOver(Bytes),
 }
@@ -57,11 +57,12 @@
     Unsupported,
 }
 
-/// Serves a connection until it ends or is handed over to hyper; `answer` answers one request. Heads have at most
-/// `max_header_bytes` bytes.
+/// Serves a connection until it ends or is handed over to hyper; `buffered` holds the bytes that were read from the stream
+/// before, and `answer` answers one request. Heads have at most `max_header_bytes` bytes.
 pub(crate) async fn serve<'a, F>(
     stream: &ClientStream,
-    clock: &IdleClock<'_>,
+    buffered: Bytes,
+    life: &ConnectionLife<'_>,
     max_header_bytes: usize,
     phase: &mut watch::Receiver<ServerPhase>,
     answer: F,
@@ -71,7 +72,7 @@
 {
     let mut writer = stream.clone();
     let mut reader = stream.clone();
-    let mut buffer = BytesMut::new();
+    let mut buffer = BytesMut::from(buffered);
     let mut answers = FuturesOrdered::new();
     // Whether further requests of the connection are served.
     let mut open = true;
@@ -97,11 +98,9 @@
                 return PipelineEnd::HandOver(buffer.freeze());
             }
             if !open {
-                return PipelineEnd::Complete(CloseCause::Announced);
-            }
-            if !buffer.is_empty() {
-                clock.restart();
+                return PipelineEnd::Close(CloseCause::Announced);
             }
+            life.receive(&buffer);
         }
         let reads = open && !unsupported && answers.len() < MAX_PIPELINED;
         let answers_left = answers.len();
@@ -109,8 +108,8 @@
             let next = std::pin::pin!(next_answer(&mut answers));
             let read = std::pin::pin!(read_more(&mut reader, &mut buffer, reads));
             let disconnected = std::pin::pin!(stream.disconnected());
-            let idle = std::pin::pin!(idle_end(phase, clock, answers_left == 0));
-            let ends = future::select(disconnected, idle);
+            let end = std::pin::pin!(life_end(phase, life, answers_left == 0));
+            let ends = future::select(disconnected, end);
             match future::select(next, future::select(read, ends)).await {
                 Either::Left((answer, _)) => PipelineEvent::Answer(answer),
                 Either::Right((Either::Left((read, _)), _)) => PipelineEvent::Read(read),
@@ -128,12 +127,16 @@
                 // Requests that were parsed before the drain are still answered; the connection
                 // closes with the last answer.
                 open &= !draining;
-                let last = !open && answers.is_empty();
-                if write_answer(&mut writer, answer, last).await.is_err() {
-                    return PipelineEnd::Disconnected;
+                let next = match (open, answers.is_empty()) {
+                    (true, _) => life.continuation(),
+                    (false, true) => Continuation::Close,
+                    (false, false) => Continuation::Unannounced,
+                };
+                if write_answer(&mut writer, answer, next).await.is_err() {
+                    return PipelineEnd::Close(CloseCause::Disconnected);
                 }
                 if answers.is_empty() {
-                    clock.restart();
+                    life.end_request(next);
                 }
                 // A client whose requests are all answered at once would keep the thread for as long
                 // as it sends.
@@ -142,14 +145,17 @@
                     task::yield_now().await;
                 }
             }
-            PipelineEvent::Read(Ok(0)) | PipelineEvent::Disconnected if answers.is_empty() => {
-                return PipelineEnd::Complete(CloseCause::Disconnected);
-            }
             PipelineEvent::Read(Ok(0) | Err(_)) | PipelineEvent::Disconnected => {
-                return PipelineEnd::Disconnected;
+                return PipelineEnd::Close(CloseCause::Disconnected);
             }
             PipelineEvent::Read(Ok(_)) => {}
-            PipelineEvent::End(cause) => return PipelineEnd::Complete(cause),
+            // A request that arrived before the end is served.
+            PipelineEvent::End(cause) => match stream.read_waiting(&mut buffer) {
+                Ok(0) => return PipelineEnd::Close(CloseCause::Disconnected),
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return PipelineEnd::Close(cause),
+                Err(_) => return PipelineEnd::Close(CloseCause::Disconnected),
+            },
         }
     }
 }
@@ -162,7 +168,7 @@
     Read(std::io::Result<usize>),
     /// The client closed its side of the connection.
     Disconnected,
-    /// No request is unanswered, and the connection ends for the given cause.
+    /// The life of the connection ends.
     End(CloseCause),
 }
 
@@ -176,22 +182,16 @@
     }
 }
 
-/// Waits until an idle connection ends: the idle timeout has passed or the server closes idle
-/// connections. Waits forever unless `is_idle` is set.
-async fn idle_end(
+/// Waits until the life of a connection ends; forever unless all requests are answered.
+async fn life_end(
     phase: &mut watch::Receiver<ServerPhase>,
-    clock: &IdleClock<'_>,
-    is_idle: bool,
+    life: &ConnectionLife<'_>,
+    is_answered: bool,
 ) -> CloseCause {
-    if !is_idle {
+    if !is_answered {
         return future::pending().await;
     }
-    let closing = std::pin::pin!(server::wait_phase(phase, ServerPhase::ClosingIdle));
-    let expired = std::pin::pin!(clock.expired());
-    match future::select(closing, expired).await {
-        Either::Left(_) => CloseCause::Shutdown,
-        Either::Right(_) => CloseCause::Idle,
-    }
+    life.end(phase).await
 }
 
 /// Reads bytes into the buffer; waits forever unless `reads` is set.
@@ -252,13 +252,14 @@
     Some(request.into_parts().0)
 }
 
-/// Writes an answer; `last` announces that the connection closes after it.
-async fn write_answer(
+/// Writes an answer that announces how the connection goes on.
+pub(crate) async fn write_answer(
     stream: &mut ClientStream,
     answer: Response<AnswerBody>,
-    last: bool,
+    next: Continuation,
 ) -> std::io::Result<()> {
-    let (parts, body) = answer.into_parts();
+    let (mut parts, body) = answer.into_parts();
+    next.announce(&mut parts.headers);
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
         Err(never) => match never {},
@@ -269,7 +270,7 @@
     let line = format!("HTTP/1.1 {} {reason}\r\n", parts.status.as_u16());
     bytes.extend_from_slice(line.as_bytes());
     for (name, value) in &parts.headers {
-        if *name == CONTENT_LENGTH || *name == CONNECTION {
+        if *name == CONTENT_LENGTH {
             continue;
         }
         append_header(&mut bytes, name.as_str().as_bytes(), value.as_bytes());
@@ -281,9 +282,6 @@
             body.len().to_string().as_bytes(),
         );
     }
-    if last {
-        append_header(&mut bytes, b"connection", b"close");
-    }
     bytes.extend_from_slice(b"\r\n");
     if is_small {
         bytes.extend_from_slice(&body);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,9 +1,6 @@
 //! Client connections and their graceful shutdown.
 
-use std::convert::Infallible;
-use std::io::Cursor;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
@@ -12,25 +9,22 @@
 use bytes::Bytes;
 use director::directory;
 use futures_util::future::{self, Either, FutureExt};
-use http::header::{HeaderValue, CONNECTION};
+use http::header::HeaderValue;
 use http::request::Parts;
-use http::{Request, Response};
+use http::Response;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use wire::backlog;
 
 use crate::answer::{AnswerBody, HostAnswer};
-use crate::close::CloseCause;
+use crate::close::{CloseCause, Continuation};
 use crate::forwarder::{ForwardEnd, RequestForwarder};
-use crate::idle::IdleClock;
 use crate::intake;
+use crate::life::ConnectionLife;
 use crate::pipeline::{self, PipelineEnd};
+use crate::sequential::{self, SequentialEnd};
 use crate::stream::{ClientStream, DiscardedInput};
 
 /// Longest time for which a client may leave sent bytes unacknowledged.
@@ -65,9 +59,6 @@
 /// Interval at which a shutdown checks whether all connections are closed.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Smallest buffer that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8 << 10;
-
 /// Phase of a server, from start to shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ServerPhase {
@@ -203,25 +194,56 @@
 
     async fn serve_stream(&self, stream: ClientStream, peer: SocketAddr) {
         let sender = self.forwarder.sender();
-        let max_header_bytes = sender.state.routes().site.limits.max_header_bytes;
-        let clock = IdleClock::new(&sender.state);
-        let mut phase = self.phase.subscribe();
-        let answer = |parts: Parts| self.serve_request(parts, None, &clock).boxed();
-        let end = pipeline::serve(&stream, &clock, max_header_bytes, &mut phase, answer).await;
-        let cause = match end {
-            PipelineEnd::Disconnected => CloseCause::Disconnected,
-            PipelineEnd::Complete(cause) => cause,
-            PipelineEnd::HandOver(buffered) => {
-                self.serve_sequential(&stream, buffered, max_header_bytes, &clock)
-                    .await
-            }
-        };
+        let life = ConnectionLife::new(&sender.state);
+        let cause = self.serve_requests(&stream, &life).await;
         sender.metrics.record_close(cause);
-        if cause == CloseCause::Disconnected {
-            return;
+        if cause == CloseCause::LateHead {
+            let answer = self.host_response(&HostAnswer::LateHead, None, Duration::ZERO);
+            let mut writer = stream.clone();
+            let written = pipeline::write_answer(&mut writer, answer, Continuation::Close).await;
+            if written.is_err() {
+                return;
+            }
         }
-        if let Some(input) = stream.lingering_close().await {
-            self.log_discarded(peer, cause, &input);
+        // Without an announcement, dropping the socket closes it and resets what arrives later.
+        if cause.is_announced() {
+            if let Some(input) = stream.lingering_close().await {
+                self.log_discarded(peer, cause, &input);
+            }
+        }
+    }
+
+    /// Serves the requests of a connection until it ends.
+    async fn serve_requests(&self, stream: &ClientStream, life: &ConnectionLife<'_>) -> CloseCause {
+        let state = &self.forwarder.sender().state;
+        let max_header_bytes = state.routes().site.limits.max_header_bytes;
+        let mut phase = self.phase.subscribe();
+        let mut buffered = Bytes::new();
+        loop {
+            let answer = |parts: Parts| self.serve_request(parts, None, life).boxed();
+            let end = pipeline::serve(stream, buffered, life, max_header_bytes, &mut phase, answer);
+            let unparsed = match end.await {
+                PipelineEnd::Close(cause) => return cause,
+                PipelineEnd::HandOver(unparsed) => unparsed,
+            };
+            let end = sequential::serve(
+                stream,
+                unparsed,
+                life,
+                max_header_bytes,
+                &phase,
+                |parts, mut body| {
+                    let answer = async move {
+                        let answer = self.serve_request(parts, Some(&mut body), life).await;
+                        (answer, body)
+                    };
+                    answer.boxed()
+                },
+            );
+            buffered = match end.await {
+                SequentialEnd::Close(cause) => return cause,
+                SequentialEnd::Resume(unparsed) => unparsed,
+            };
         }
     }
 
@@ -239,80 +261,19 @@
         );
     }
 
-    /// Serves a connection with hyper, one request at a time; `buffered` holds the bytes that were
-    /// read from the stream before.
-    async fn serve_sequential(
-        &self,
-        stream: &ClientStream,
-        buffered: Bytes,
-        max_header_bytes: usize,
-        clock: &IdleClock<'_>,
-    ) -> CloseCause {
-        let service = service_fn(|request: Request<Incoming>| {
-            let (parts, body) = request.into_parts();
-            Box::pin(async move {
-                let mut response = self.serve_request(parts, Some(body), clock).await;
-                clock.restart();
-                if *self.phase.borrow() != ServerPhase::Serving {
-                    let close = HeaderValue::from_static("close");
-                    response.headers_mut().insert(CONNECTION, close);
-                }
-                Ok::<_, Infallible>(response)
-            })
-        });
-        // hyper's time limit for reading a head also applies while a connection is idle, and can't follow the
-        // configuration, so the clock bounds both.
-        let input = Cursor::new(buffered).chain(stream.clone());
-        let io = TokioIo::new(tokio::io::join(input, stream.clone()));
-        let mut http = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(None)
-            .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
-            .serve_connection(io, service);
-        let mut phase = self.phase.subscribe();
-        let end = {
-            let disconnected = std::pin::pin!(stream.disconnected());
-            let closing = std::pin::pin!(wait_phase(&mut phase, ServerPhase::ClosingIdle));
-            let expired = std::pin::pin!(clock.expired());
-            let closing = future::select(closing, expired);
-            let serving = future::poll_fn(|cx| http.poll_without_shutdown(cx));
-            match future::select(serving, future::select(disconnected, closing)).await {
-                Either::Left(_) => ServingEnd::Complete,
-                Either::Right((Either::Left(_), _)) => ServingEnd::Disconnected,
-                Either::Right((Either::Right((Either::Left(_), _)), _)) => {
-                    ServingEnd::Closing(CloseCause::Shutdown)
-                }
-                Either::Right((Either::Right((Either::Right(_), _)), _)) => {
-                    ServingEnd::Closing(CloseCause::Idle)
-                }
-            }
-        };
-        match end {
-            ServingEnd::Complete => CloseCause::Announced,
-            ServingEnd::Disconnected => CloseCause::Disconnected,
-            ServingEnd::Closing(cause) => {
-                Pin::new(&mut http).graceful_shutdown();
-                let disconnected = std::pin::pin!(stream.disconnected());
-                let serving = future::poll_fn(|cx| http.poll_without_shutdown(cx));
-                let _ = future::select(serving, disconnected).await;
-                cause
-            }
-        }
-    }
-
     /// Answers a request, and records the answer. `body` is `None` for a request without a body.
     async fn serve_request(
         &self,
         parts: Parts,
-        body: Option<Incoming>,
-        clock: &IdleClock<'_>,
+        body: Option<&mut Incoming>,
+        life: &ConnectionLife<'_>,
     ) -> Response<AnswerBody> {
         let started_at = Instant::now();
-        let idle = clock.begin_request();
+        let idle = life.begin_request();
         let sender = self.forwarder.sender();
         let names = &sender.names;
         let id = parts.headers.get(&names.request_id).cloned();
-        let limit = clock.limit();
+        let limit = life.idle_limit();
         if idle > limit {
             log::info!(
                 target: "clients",
@@ -332,10 +293,19 @@
             }
             Ok(ForwardEnd::Host(answer)) | Err(answer) => answer,
         };
+        self.host_response(&answer, id, started_at.elapsed())
+    }
+
+    /// Records an answer of the host, and returns the response with it.
+    fn host_response(
+        &self,
+        answer: &HostAnswer,
+        id: Option<HeaderValue>,
+        took: Duration,
+    ) -> Response<AnswerBody> {
+        let sender = self.forwarder.sender();
         let status = answer.status().as_u16();
-        sender
-            .metrics
-            .record_answer(status, true, started_at.elapsed());
+        sender.metrics.record_answer(status, true, took);
         log::info!(
             target: "request",
             "answered by the host; request={} status={} cause={:?}",
@@ -345,7 +315,8 @@
         );
         let mut response = answer.to_response();
         if let Some(id) = id {
-            response.headers_mut().insert(names.request_id.clone(), id);
+            let name = sender.names.request_id.clone();
+            response.headers_mut().insert(name, id);
         }
         response
     }
@@ -354,7 +325,7 @@
     async fn forward_until_finishing(
         &self,
         parts: Parts,
-        body: Option<Incoming>,
+        body: Option<&mut Incoming>,
     ) -> Result<ForwardEnd, HostAnswer> {
         let mut phase = self.phase.subscribe();
         let finishing = std::pin::pin!(wait_phase(&mut phase, ServerPhase::Finishing));
@@ -368,7 +339,7 @@
     async fn forward(
         &self,
         parts: Parts,
-        body: Option<Incoming>,
+        body: Option<&mut Incoming>,
     ) -> Result<ForwardEnd, HostAnswer> {
         let now = Instant::now();
         let sender = self.forwarder.sender();
@@ -388,17 +359,7 @@
     }
 }
 
-/// Why hyper's serving of a connection ended or is interrupted.
-enum ServingEnd {
-    /// hyper finished, or the connection failed.
-    Complete,
-    /// The client disconnected.
-    Disconnected,
-    /// The server closes the connection for the given cause.
-    Closing(CloseCause),
-}
-
 /// Waits until the server is in the given phase or a later one.
-pub(crate) async fn wait_phase(phase: &mut watch::Receiver<ServerPhase>, awaited: ServerPhase) {
+async fn wait_phase(phase: &mut watch::Receiver<ServerPhase>, awaited: ServerPhase) {
     let _ = phase.wait_for(|phase| *phase >= awaited).await;
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,13 +3,15 @@
 //! hyper doesn't check for the end of a connection while its read buffer holds the next request, so
 //! it wouldn't detect that a client with pipelined requests has disconnected.
 
-use std::io;
+use std::io::{self, Read};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use bytes::BytesMut;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -65,11 +67,23 @@
         }
     }
 
+    /// Reads the bytes that wait in the socket, whether the runtime has noticed them or not.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`io::ErrorKind::WouldBlock`] if none wait, and the errors of the socket.
+    pub fn read_waiting(&self, buffer: &mut BytesMut) -> io::Result<usize> {
+        let mut waiting = [0; 4096];
+        let count = (&*SockRef::from(&*self.socket)).read(&mut waiting)?;
+        buffer.extend_from_slice(&waiting[..count]);
+        Ok(count)
+    }
+
     /// Closes the writing side, then reads and discards bytes until the client closes its side, has sent
     /// too many, or a timeout passes. Closing the socket with unread bytes at once would reset the
     /// connection, and the client could lose the last answer. Returns what was discarded.
     pub async fn lingering_close(&self) -> Option<DiscardedInput> {
-        let shutdown = socket2::SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write);
+        let shutdown = SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write);
         if shutdown.is_err() {
             return None;
         }
@@ -173,6 +187,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write))
     }
 }
