fix(gateway): an entry behind an announced end isn't run

What callers saw: a second success on a connection whose last answer had announced its end, and an entry that ran twice where they sent it again, as they may.

Cause: with a read in flight and an entry read behind it when the host begins to drain, the pipeline answered the read with Connection: close, and then handed the entry to hyper, as it looked for bytes for hyper before it looked whether the connection had ended.

Evidence: found by a review of the rule on ends of connections, with a read of 700 ms, an entry behind it and SIGTERM 200 ms later. The test fails before: two answers, and the entry ran once.

Change: the end comes first. A request that arrives on an open connection while the host stops is still served.

After: the test passes.

--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -94,12 +94,12 @@
             }
         }
         if answers.is_empty() {
-            if unsupported {
-                return PipelineEnd::HandOver(buffer.freeze());
-            }
             if !open {
                 return PipelineEnd::Close(CloseCause::Announced);
             }
+            if unsupported {
+                return PipelineEnd::HandOver(buffer.freeze());
+            }
             life.receive(&buffer);
         }
         let reads = open && !unsupported && answers.len() < MAX_PIPELINED;
