fix(gateway): an answer says that its connection stays open only if that is so

A body that was sent in chunks on request (Expect: 100-continue) ended its connection though it had been read whole. Answers to HTTP/1.0 said "close, keep-alive".

Cause: whether a body had been read to its end was asked of hyper after the fact, which can't tell a broken body or a chunked one that was read.

Change: ClientBody remembers what became of it. Answers have the version of their request.

--- a/crates/gateway/src/close.rs
+++ b/crates/gateway/src/close.rs
@@ -97,7 +97,7 @@
     /// The client may use the connection again within this time, in whole seconds.
     KeepAlive(Duration),
     /// The answer says nothing of it.
-    Unannounced,
+    Unstated,
 }
 
 impl Continuation {
@@ -114,7 +114,7 @@
                     headers.insert(KEEP_ALIVE, value);
                 }
             }
-            Self::Unannounced => {}
+            Self::Unstated => {}
         }
     }
 }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -7,12 +7,12 @@
 use fleet::site::RouteSpec;
 use http::header::{HeaderMap, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
-use hyper::body::Incoming;
 use quota::decision::QuotaDecision;
 
 use crate::access;
 use crate::answer::HostAnswer;
 use crate::attempt::{self, ServerSender};
+use crate::body::ClientBody;
 use crate::buffer::{BufferBudget, BufferError};
 use crate::metrics::AccessOutcome;
 use crate::request::{self, ForwardRequest};
@@ -39,7 +39,7 @@
     last_deadline: Option<Instant>,
     now: Instant,
     parts: Parts,
-    body: Option<&mut Incoming>,
+    body: Option<&mut ClientBody>,
 ) -> Result<ForwardRequest, HostAnswer> {
     let (state, names) = (&sender.state, &sender.names);
     let mut headers = parts.headers;
@@ -222,7 +222,7 @@
 /// Reads a body of at most `max_bytes` bytes until the deadline.
 async fn read_body(
     buffers: &BufferBudget,
-    body: Option<&mut Incoming>,
+    body: Option<&mut ClientBody>,
     max_bytes: u64,
     deadline: Instant,
 ) -> Result<Bytes, HostAnswer> {
@@ -230,7 +230,7 @@
         return Ok(Bytes::new());
     };
     let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    let reading = buffers.collect(body, max_bytes);
+    let reading = body.collect(buffers, max_bytes);
     match tokio::time::timeout_at(deadline.into(), reading).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BufferError::TooLarge)) => Err(HostAnswer::TooLarge),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,8 +14,8 @@
 //! | [`server`] | client connections and graceful shutdown |
 //! | [`pipeline`] | client connections with pipelined requests |
 //! | [`close`] | when client connections end, and why |
-//! | `sequential` | client connections with requests that have a body |
-//! | `life` | state of a client connection over its life |
+//! | `sequential` | requests that hyper serves: those with a body, and odd heads |
+//! | `tracker` | what a client connection is used for, and when it ends |
 //! | [`stream`] | client socket that detects a disconnect |
 //! | [`access`] | whose request it is, and where it may run |
 //! | `intake` | checks of a request before it is forwarded |
@@ -24,6 +24,7 @@
 //! | [`forwarder`] | attempts, hedges and the answer to the client |
 //! | [`attempt`] | one attempt at one backend server |
 //! | [`pool`] | connections to backend servers |
+//! | `body` | bodies of clients' requests |
 //! | [`buffer`] | memory for buffered bodies |
 //! | [`limit`] | what an answer says of its server's limit |
 //! | [`load`] | the load that a server reports in its answers |
@@ -33,12 +34,12 @@
 pub mod access;
 pub mod answer;
 pub mod attempt;
+mod body;
 pub mod buffer;
 pub mod close;
 pub mod follower;
 pub mod forwarder;
 mod intake;
-mod life;
 pub mod limit;
 pub mod load;
 pub mod metrics;
@@ -53,3 +54,4 @@
 pub mod settings;
 pub mod state;
 pub mod stream;
+mod tracker;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -21,9 +21,9 @@
 use crate::answer::AnswerBody;
 use crate::attempt;
 use crate::close::{CloseCause, Continuation};
-use crate::life::ConnectionLife;
 use crate::server::ServerPhase;
 use crate::stream::ClientStream;
+use crate::tracker::ConnectionTracker;
 
 /// Maximum number of requests of one connection that run at the same time.
 const MAX_PIPELINED: usize = 16;
@@ -62,7 +62,7 @@
 pub(crate) async fn serve<'a, F>(
     stream: &ClientStream,
     buffered: Bytes,
-    life: &ConnectionLife<'_>,
+    tracker: &ConnectionTracker<'_>,
     max_header_bytes: usize,
     phase: &mut watch::Receiver<ServerPhase>,
     answer: F,
@@ -100,7 +100,7 @@
             if unsupported {
                 return PipelineEnd::HandOver(buffer.freeze());
             }
-            life.receive(&buffer);
+            tracker.receive(&buffer);
         }
         let reads = open && !unsupported && answers.len() < MAX_PIPELINED;
         let answers_left = answers.len();
@@ -108,7 +108,7 @@
             let next = std::pin::pin!(next_answer(&mut answers));
             let read = std::pin::pin!(read_more(&mut reader, &mut buffer, reads));
             let disconnected = std::pin::pin!(stream.disconnected());
-            let end = std::pin::pin!(life_end(phase, life, answers_left == 0));
+            let end = std::pin::pin!(connection_end(phase, tracker, answers_left == 0));
             let ends = future::select(disconnected, end);
             match future::select(next, future::select(read, ends)).await {
                 Either::Left((answer, _)) => PipelineEvent::Answer(answer),
@@ -128,15 +128,15 @@
                 // closes with the last answer.
                 open &= !draining;
                 let next = match (open, answers.is_empty()) {
-                    (true, _) => life.continuation(),
+                    (true, _) => tracker.continuation(),
                     (false, true) => Continuation::Close,
-                    (false, false) => Continuation::Unannounced,
+                    (false, false) => Continuation::Unstated,
                 };
                 if write_answer(&mut writer, answer, next).await.is_err() {
                     return PipelineEnd::Close(CloseCause::Disconnected);
                 }
                 if answers.is_empty() {
-                    life.end_request(next);
+                    tracker.end_request(next);
                 }
                 // A client whose requests are all answered at once would keep the thread for as long
                 // as it sends.
@@ -168,7 +168,7 @@
     Read(std::io::Result<usize>),
     /// The client closed its side of the connection.
     Disconnected,
-    /// The life of the connection ends.
+    /// The connection ends for the given cause.
     End(CloseCause),
 }
 
@@ -182,16 +182,16 @@
     }
 }
 
-/// Waits until the life of a connection ends; forever unless all requests are answered.
-async fn life_end(
+/// Waits until a connection ends; forever unless all requests are answered.
+async fn connection_end(
     phase: &mut watch::Receiver<ServerPhase>,
-    life: &ConnectionLife<'_>,
+    tracker: &ConnectionTracker<'_>,
     is_answered: bool,
 ) -> CloseCause {
     if !is_answered {
         return future::pending().await;
     }
-    life.end(phase).await
+    tracker.end(phase).await
 }
 
 /// Reads bytes into the buffer; waits forever unless `reads` is set.
--- a/crates/gateway/src/sequential.rs
+++ b/crates/gateway/src/sequential.rs
@@ -5,15 +5,13 @@
 use std::pin::{pin, Pin};
 use std::sync::{Mutex, PoisonError};
 use std::task::Poll;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::{self, BoxFuture, Either};
 use http::header::EXPECT;
 use http::request::Parts;
 use http::{Request, Response, Version};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -22,20 +20,15 @@
 
 use crate::answer::AnswerBody;
 use crate::attempt;
+use crate::body::ClientBody;
 use crate::close::{CloseCause, Continuation};
-use crate::life::ConnectionLife;
 use crate::server::ServerPhase;
 use crate::stream::ClientStream;
+use crate::tracker::ConnectionTracker;
 
 /// Smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
-/// Most bytes of an unread body that are read so that the connection can stay open.
-const MAX_DRAINED_BYTES: u64 = 64 << 10;
-
-/// Longest time for which an answer waits for the rest of such a body.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
-
 /// How the sequential serving of a connection ended.
 pub(crate) enum SequentialEnd {
     /// The connection ends.
@@ -50,13 +43,13 @@
 pub(crate) async fn serve<'a, F>(
     stream: &ClientStream,
     buffered: Bytes,
-    life: &ConnectionLife<'_>,
+    tracker: &ConnectionTracker<'_>,
     max_header_bytes: usize,
     phase: &watch::Receiver<ServerPhase>,
     answer: F,
 ) -> SequentialEnd
 where
-    F: Fn(Parts, Incoming) -> BoxFuture<'a, (Response<AnswerBody>, Incoming)>,
+    F: Fn(Parts, ClientBody) -> BoxFuture<'a, (Response<AnswerBody>, ClientBody)>,
 {
     // How the connection goes on after the last answer; `None` while a request is served.
     let next = Mutex::new(None);
@@ -69,14 +62,16 @@
         Box::pin(async move {
             let is_last =
                 parts.version != Version::HTTP_11 || attempt::has_connection_close(&parts.headers);
-            let expects_continue = parts.headers.contains_key(EXPECT);
+            let version = parts.version;
+            let body = ClientBody::new(body, parts.headers.contains_key(EXPECT));
             let (mut response, mut body) = answer(parts, body).await;
-            let closes = is_last
-                || *phase.borrow() != ServerPhase::Serving
-                || !drain(&mut body, expects_continue).await;
-            let next = match closes {
-                true => Continuation::Close,
-                false => life.continuation(),
+            // hyper adds its own word on the connection to other answers to HTTP/1.0.
+            *response.version_mut() = version;
+            let is_serving = *phase.borrow() == ServerPhase::Serving;
+            let next = if !is_last && is_serving && body.drain().await {
+                tracker.continuation()
+            } else {
+                Continuation::Close
             };
             next.announce(response.headers_mut());
             set_next(Some(next));
@@ -87,7 +82,7 @@
     let io = TokioIo::new(tokio::io::join(input, stream.clone()));
     let mut http = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(life.header_timeout())
+        .header_read_timeout(tracker.header_timeout())
         .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(io, service);
     let result = {
@@ -107,42 +102,14 @@
     let unparsed = http.into_parts().read_buf;
     match (result, current_next()) {
         (Err(e), _) if e.is_timeout() => SequentialEnd::Close(CloseCause::LateHead),
-        // hyper answers what it can't parse, and its answer announces the end.
+        // hyper answers most of what it can't parse, and announces the end.
         (Err(_), _) | (Ok(()), Some(Continuation::Close)) => {
             SequentialEnd::Close(CloseCause::Announced)
         }
         (Ok(()), Some(next)) => {
-            life.end_request(next);
+            tracker.end_request(next);
             SequentialEnd::Resume(unparsed)
         }
         (Ok(()), None) => SequentialEnd::Close(CloseCause::Disconnected),
     }
 }
-
-/// Reads the rest of a body, and returns whether its end was reached. Otherwise the connection has to end, as what follows
-/// can't be told from the body.
-async fn drain(body: &mut Incoming, expects_continue: bool) -> bool {
-    if body.is_end_stream() {
-        return true;
-    }
-    // A client that waits for permission to send the body gets an answer instead.
-    if expects_continue || body.size_hint().lower() > MAX_DRAINED_BYTES {
-        return false;
-    }
-    let reading = async {
-        let mut drained = 0;
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else {
-                return false;
-            };
-            drained += frame.data_ref().map_or(0, |data| data.len() as u64);
-            if drained > MAX_DRAINED_BYTES {
-                return false;
-            }
-        }
-        true
-    };
-    tokio::time::timeout(DRAIN_TIMEOUT, reading)
-        .await
-        .unwrap_or(false)
-}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -13,19 +13,19 @@
 use http::request::Parts;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use wire::backlog;
 
 use crate::answer::{AnswerBody, HostAnswer};
+use crate::body::ClientBody;
 use crate::close::{CloseCause, Continuation};
 use crate::forwarder::{ForwardEnd, RequestForwarder};
 use crate::intake;
-use crate::life::ConnectionLife;
 use crate::pipeline::{self, PipelineEnd};
 use crate::sequential::{self, SequentialEnd};
 use crate::stream::{ClientStream, DiscardedInput};
+use crate::tracker::ConnectionTracker;
 
 /// Longest time for which a client may leave sent bytes unacknowledged.
 const CLIENT_USER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -194,8 +194,8 @@
 
     async fn serve_stream(&self, stream: ClientStream, peer: SocketAddr) {
         let sender = self.forwarder.sender();
-        let life = ConnectionLife::new(&sender.state);
-        let cause = self.serve_requests(&stream, &life).await;
+        let tracker = ConnectionTracker::new(&sender.state);
+        let cause = self.serve_requests(&stream, &tracker).await;
         sender.metrics.record_close(cause);
         if cause == CloseCause::LateHead {
             let answer = self.host_response(&HostAnswer::LateHead, None, Duration::ZERO);
@@ -214,14 +214,25 @@
     }
 
     /// Serves the requests of a connection until it ends.
-    async fn serve_requests(&self, stream: &ClientStream, life: &ConnectionLife<'_>) -> CloseCause {
+    async fn serve_requests(
+        &self,
+        stream: &ClientStream,
+        tracker: &ConnectionTracker<'_>,
+    ) -> CloseCause {
         let state = &self.forwarder.sender().state;
         let max_header_bytes = state.routes().site.limits.max_header_bytes;
         let mut phase = self.phase.subscribe();
         let mut buffered = Bytes::new();
         loop {
-            let answer = |parts: Parts| self.serve_request(parts, None, life).boxed();
-            let end = pipeline::serve(stream, buffered, life, max_header_bytes, &mut phase, answer);
+            let answer = |parts: Parts| self.serve_request(parts, None, tracker).boxed();
+            let end = pipeline::serve(
+                stream,
+                buffered,
+                tracker,
+                max_header_bytes,
+                &mut phase,
+                answer,
+            );
             let unparsed = match end.await {
                 PipelineEnd::Close(cause) => return cause,
                 PipelineEnd::HandOver(unparsed) => unparsed,
@@ -229,12 +240,12 @@
             let end = sequential::serve(
                 stream,
                 unparsed,
-                life,
+                tracker,
                 max_header_bytes,
                 &phase,
                 |parts, mut body| {
                     let answer = async move {
-                        let answer = self.serve_request(parts, Some(&mut body), life).await;
+                        let answer = self.serve_request(parts, Some(&mut body), tracker).await;
                         (answer, body)
                     };
                     answer.boxed()
@@ -265,15 +276,15 @@
     async fn serve_request(
         &self,
         parts: Parts,
-        body: Option<&mut Incoming>,
-        life: &ConnectionLife<'_>,
+        body: Option<&mut ClientBody>,
+        tracker: &ConnectionTracker<'_>,
     ) -> Response<AnswerBody> {
         let started_at = Instant::now();
-        let idle = life.begin_request();
+        let idle = tracker.begin_request();
         let sender = self.forwarder.sender();
         let names = &sender.names;
         let id = parts.headers.get(&names.request_id).cloned();
-        let limit = life.idle_limit();
+        let limit = tracker.idle_limit();
         if idle > limit {
             log::info!(
                 target: "clients",
@@ -325,7 +336,7 @@
     async fn forward_until_finishing(
         &self,
         parts: Parts,
-        body: Option<&mut Incoming>,
+        body: Option<&mut ClientBody>,
     ) -> Result<ForwardEnd, HostAnswer> {
         let mut phase = self.phase.subscribe();
         let finishing = std::pin::pin!(wait_phase(&mut phase, ServerPhase::Finishing));
@@ -339,7 +350,7 @@
     async fn forward(
         &self,
         parts: Parts,
-        body: Option<&mut Incoming>,
+        body: Option<&mut ClientBody>,
     ) -> Result<ForwardEnd, HostAnswer> {
         let now = Instant::now();
         let sender = self.forwarder.sender();
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/tracker.rs
@@ -1,4 +1,4 @@
-//! State of a client connection over its life.
+//! State of a client connection over its tracker.
 
 use std::pin::pin;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -13,13 +13,13 @@
 
 /// Tracks what a client connection is used for, and when it ends.
 #[derive(Debug)]
-pub(crate) struct ConnectionLife<'a> {
+pub(crate) struct ConnectionTracker<'a> {
     gateway: &'a GatewayState,
     state: Mutex<ConnectionState>,
 }
 
-impl<'a> ConnectionLife<'a> {
-    /// Creates the life of a connection that begins now.
+impl<'a> ConnectionTracker<'a> {
+    /// Creates the tracker of a connection that begins now.
     pub(crate) fn new(gateway: &'a GatewayState) -> Self {
         let state = ConnectionState::Idle {
             since: Instant::now(),
@@ -61,7 +61,7 @@
         let since = Instant::now();
         let announced = match next {
             Continuation::KeepAlive(timeout) => timeout,
-            Continuation::Close | Continuation::Unannounced => Duration::ZERO,
+            Continuation::Close | Continuation::Unstated => Duration::ZERO,
         };
         *self.lock() = ConnectionState::Idle { since, announced };
     }
@@ -79,7 +79,7 @@
     /// Returns how a connection goes on that stays open after an answer.
     pub(crate) fn continuation(&self) -> Continuation {
         match self.idle_limit().as_secs() {
-            0 => Continuation::Unannounced,
+            0 => Continuation::Unstated,
             seconds => Continuation::KeepAlive(Duration::from_secs(seconds)),
         }
     }
--- a/crates/gateway/tests/close.rs
+++ b/crates/gateway/tests/close.rs
@@ -32,7 +32,7 @@
 #[case::head_while_finishing(receiving, ServerPhase::Finishing, Some((0, CloseCause::LateHead)))]
 #[case::served(serving, ServerPhase::Serving, NOTHING)]
 #[case::served_while_finishing(serving, ServerPhase::Finishing, NOTHING)]
-fn a_connection_ends_when_no_request_is_lost_by_it(
+fn a_connection_outlasts_its_announced_idle_time_and_a_head_that_has_begun(
     #[case] state: impl Fn(Instant) -> ConnectionState,
     #[case] phase: ServerPhase,
     #[case] expected: Option<(u64, CloseCause)>,
@@ -69,7 +69,7 @@
     Some("keep-alive"),
     Some("timeout=15")
 )]
-#[case::unannounced(Continuation::Unannounced, None, None)]
+#[case::unstated(Continuation::Unstated, None, None)]
 fn an_answer_says_how_its_connection_goes_on(
     #[case] next: Continuation,
     #[case] connection: Option<&str>,
