fix(forward): a request that crosses the end of an idle connection is reset unread

What callers saw: a request sent just after the host had ended an idle connection, at the end of its idle time or in a stop, got neither an answer nor a reset for up to 1 s, then the end of the connection. The caller couldn't know that nothing ran.

Cause: every connection ended by a lingering close, which reads and discards bytes, also where no answer had announced the end. Connections above the limit that had sent nothing ended so too, and so did those whose answer had begun before a stop and therefore carried no `Connection: close`.

Why this works: a connection knows whether it is idle, in a head or answering. It ends unannounced only while it is idle, nothing waits in its socket and hyper has read nothing; the socket is then closed without a read, so the kernel resets what arrives later. The lingering close stays for ends that the last answer announced. hyper's timeout for heads is off, as it doesn't tell an idle connection from a late head, and its graceful shutdown isn't used. Idle connections in a stop keep their 300 ms, counted from the last answer. A late head is still closed without an answer.

--- /dev/null
+++ b/crates/forward/src/activity.rs
@@ -0,0 +1,143 @@
+//! Activity of a caller's connection, which decides when the connection may end.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+
+use crate::body::{AnswerBody, BodyError};
+
+/// Activity of a caller's connection. A connection ends only while it is idle or a head is late, so
+/// that no request is read and dropped.
+#[derive(Debug)]
+pub(crate) struct ConnectionActivity {
+    state: Mutex<ActivityState>,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum ActivityState {
+    /// Nothing of a further request has been read.
+    Idle { since: Instant },
+    /// A part of the head of a request has been read.
+    Head { since: Instant },
+    /// A request is being answered.
+    Answering,
+    /// The last bytes of an answer are being written.
+    Flushing,
+}
+
+/// Limits on a connection that has no complete request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ConnectionLimits {
+    /// Longest idle time, and longest time between the first byte and the last of a head.
+    pub(crate) head_timeout: Duration,
+    /// The same for a connection that is being closed.
+    pub(crate) close_grace: Duration,
+}
+
+impl ConnectionActivity {
+    /// Creates the activity of a connection that is idle from now on.
+    pub(crate) fn start(now: Instant) -> Arc<Self> {
+        let state = Mutex::new(ActivityState::Idle { since: now });
+        Arc::new(Self { state })
+    }
+
+    /// Records that bytes were read. Line ends before a head don't begin a request.
+    pub(crate) fn received(&self, bytes: &[u8], now: Instant) {
+        let mut state = self.lock();
+        if matches!(*state, ActivityState::Idle { .. }) && !is_blank(bytes) {
+            *state = ActivityState::Head { since: now };
+        }
+    }
+
+    /// Records that the head of a request is complete.
+    pub(crate) fn begin_answer(&self) {
+        *self.lock() = ActivityState::Answering;
+    }
+
+    /// Records that the connection has taken the whole answer.
+    fn end_answer(&self) {
+        *self.lock() = ActivityState::Flushing;
+    }
+
+    /// Records that all bytes taken by the connection were written to the socket.
+    pub(crate) fn flushed(&self, now: Instant) {
+        let mut state = self.lock();
+        if matches!(*state, ActivityState::Flushing) {
+            *state = ActivityState::Idle { since: now };
+        }
+    }
+
+    /// Returns whether a part of a head has been read.
+    pub(crate) fn is_in_head(&self) -> bool {
+        matches!(*self.lock(), ActivityState::Head { .. })
+    }
+
+    /// Returns the time at which the connection ends if nothing happens before, `None` while a
+    /// request is being answered. `closing_at` is the time at which closing began.
+    pub(crate) fn ends_at(
+        &self,
+        limits: ConnectionLimits,
+        closing_at: Option<Instant>,
+    ) -> Option<Instant> {
+        let (since, closing_end) = match *self.lock() {
+            ActivityState::Idle { since } => (since, closing_at.map(|_| since)),
+            ActivityState::Head { since } => (since, closing_at.map(|at| at.max(since))),
+            ActivityState::Answering | ActivityState::Flushing => return None,
+        };
+        let end = since + limits.head_timeout;
+        Some(closing_end.map_or(end, |start| end.min(start + limits.close_grace)))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ActivityState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns whether the bytes are line ends only, which may stand before a head.
+pub(crate) fn is_blank(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
+}
+
+/// Body of an answer that records its end in the activity of its connection.
+#[derive(Debug)]
+pub(crate) struct TrackedBody {
+    body: AnswerBody,
+    activity: Arc<ConnectionActivity>,
+}
+
+impl TrackedBody {
+    /// Wraps the body of an answer on a connection.
+    pub(crate) fn new(body: AnswerBody, activity: Arc<ConnectionActivity>) -> Self {
+        Self { body, activity }
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.activity.end_answer();
+    }
+}
--- /dev/null
+++ b/crates/forward/src/caller.rs
@@ -0,0 +1,164 @@
+//! Connection of a caller, from its accept to its end.
+//!
+//! A connection ends in one of two ways. If its last answer announced the end, the server closes its
+//! side, then reads and discards what still comes, because unread bytes would reset the connection
+//! and the answer could be lost. Otherwise nothing of a further request has been read, and the
+//! socket is closed at once: a request that arrives later is reset unread, so that its caller may
+//! send it again.
+
+use std::convert::Infallible;
+use std::future::{self, Future};
+use std::mem::MaybeUninit;
+use std::pin::{pin, Pin};
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+use crate::activity::{self, ConnectionActivity, ConnectionLimits, TrackedBody};
+use crate::body::AnswerBody;
+use crate::recorder::{HeadRecorder, RecordedStream};
+
+/// Longest time in which a lingering close reads and discards bytes.
+const MAX_LINGER: Duration = Duration::from_secs(1);
+/// Maximum number of bytes that a lingering close reads and discards.
+const MAX_LINGER_BYTES: usize = 4 << 20;
+
+/// Connection of a caller.
+#[derive(Debug)]
+pub(crate) struct CallerConnection {
+    stream: RecordedStream,
+    activity: Arc<ConnectionActivity>,
+    limits: ConnectionLimits,
+}
+
+/// End of the service on a connection.
+#[derive(Debug)]
+enum ServiceEnd {
+    /// The caller or an announcement ended it, or it failed.
+    Ended(hyper::Result<()>),
+    /// No complete request arrived in time.
+    LimitPassed,
+}
+
+impl CallerConnection {
+    /// Takes over an accepted connection whose heads are kept by `recorder`.
+    pub(crate) fn new(
+        stream: TcpStream,
+        recorder: Arc<HeadRecorder>,
+        limits: ConnectionLimits,
+    ) -> Self {
+        let activity = ConnectionActivity::start(Instant::now());
+        Self {
+            stream: RecordedStream::new(stream, recorder, activity.clone()),
+            activity,
+            limits,
+        }
+    }
+
+    /// Answers requests until the connection ends. From the time at which `closing` is ready, it
+    /// ends as soon as it has been without a request for a short time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails.
+    pub(crate) async fn serve<A, F>(
+        self,
+        builder: &http1::Builder,
+        answer: impl Fn(Request<Incoming>) -> A,
+        closing: F,
+    ) -> hyper::Result<()>
+    where
+        A: Future<Output = Response<AnswerBody>>,
+        F: Future<Output = ()>,
+    {
+        let Self {
+            mut stream,
+            activity,
+            limits,
+        } = self;
+        let service = service_fn(|request| {
+            activity.begin_answer();
+            let answering = answer(request);
+            Box::pin(async {
+                let tracked = |body| TrackedBody::new(body, activity.clone());
+                Ok::<_, Infallible>(answering.await.map(tracked))
+            })
+        });
+        let mut closing = pin!(closing);
+        let mut closing_at = None;
+        let mut timer = pin!(tokio::time::sleep(limits.head_timeout));
+        loop {
+            let mut http = builder.serve_connection(TokioIo::new(stream), &service);
+            let serving = future::poll_fn(|cx| {
+                if let Poll::Ready(ended) = http.poll_without_shutdown(cx) {
+                    return Poll::Ready(ServiceEnd::Ended(ended));
+                }
+                if closing_at.is_none() && closing.as_mut().poll(cx).is_ready() {
+                    closing_at = Some(Instant::now());
+                }
+                let Some(end) = activity.ends_at(limits, closing_at) else {
+                    return Poll::Pending;
+                };
+                set_timer(timer.as_mut(), end);
+                timer.as_mut().poll(cx).map(|()| ServiceEnd::LimitPassed)
+            });
+            let end = serving.await;
+            let parts = http.into_parts();
+            stream = parts.io.into_inner();
+            if let ServiceEnd::Ended(ended) = end {
+                linger(stream.into_inner()).await;
+                return ended;
+            }
+            let has_request = activity.is_in_head() || !activity::is_blank(&parts.read_buf);
+            if has_request || !has_unread_bytes(stream.socket()) {
+                return Ok(());
+            }
+            // The kernel has bytes that the runtime hasn't reported yet.
+            if stream.socket().readable().await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+}
+
+fn set_timer(timer: Pin<&mut Sleep>, end: Instant) {
+    let end = end.into();
+    if timer.deadline() != end {
+        timer.reset(end);
+    }
+}
+
+/// Returns whether a socket has bytes that weren't read.
+fn has_unread_bytes(socket: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::<u8>::uninit()];
+    matches!(SockRef::from(socket).peek(&mut byte), Ok(count) if count > 0)
+}
+
+/// Ends a connection whose end was announced: closes the server's side, then reads and discards
+/// bytes until the caller closes its side or a bound is reached.
+async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut scratch = vec![0; 4096];
+    let reading = async {
+        let mut remaining = MAX_LINGER_BYTES;
+        while let Ok(count) = stream.read(&mut scratch).await {
+            remaining = remaining.saturating_sub(count);
+            if count == 0 || remaining == 0 {
+                break;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(MAX_LINGER, reading).await;
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -41,8 +41,10 @@
 pub mod settings;
 pub mod steered;
 
+mod activity;
 mod attempt;
 mod buffer;
+mod caller;
 mod connection;
 mod pool;
 mod recorder;
--- a/crates/forward/src/recorder.rs
+++ b/crates/forward/src/recorder.rs
@@ -8,10 +8,13 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
+use std::time::Instant;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::activity::ConnectionActivity;
+
 /// Bytes that end the head of a request.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -24,8 +27,6 @@
 
 #[derive(Debug, Default)]
 struct RecorderState {
-    /// Whether the head of the first request has arrived in full.
-    has_request: bool,
     paused: bool,
     head: Vec<u8>,
 }
@@ -52,14 +53,7 @@
 
     /// Stops recording because the head is complete.
     pub(crate) fn pause(&self) {
-        let mut state = self.lock();
-        state.has_request = true;
-        state.paused = true;
-    }
-
-    /// Returns whether the head of the first request has arrived in full.
-    pub(crate) fn has_request(&self) -> bool {
-        self.lock().has_request
+        self.lock().paused = true;
     }
 
     /// Starts recording the head of the next request.
@@ -88,20 +82,35 @@
     bytes.windows(wanted.len()).position(|part| part == wanted)
 }
 
-/// Stream of a caller whose received bytes pass through a [`HeadRecorder`].
+/// Stream of a caller whose received bytes pass through a [`HeadRecorder`], and which records the
+/// activity of its connection.
 #[derive(Debug)]
 pub(crate) struct RecordedStream {
     stream: TcpStream,
     recorder: Arc<HeadRecorder>,
+    activity: Arc<ConnectionActivity>,
 }
 
 impl RecordedStream {
     /// Wraps a stream.
-    pub(crate) fn new(stream: TcpStream, recorder: Arc<HeadRecorder>) -> Self {
-        Self { stream, recorder }
+    pub(crate) fn new(
+        stream: TcpStream,
+        recorder: Arc<HeadRecorder>,
+        activity: Arc<ConnectionActivity>,
+    ) -> Self {
+        Self {
+            stream,
+            recorder,
+            activity,
+        }
     }
 
     /// Returns the wrapped stream.
+    pub(crate) fn socket(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Unwraps the stream.
     pub(crate) fn into_inner(self) -> TcpStream {
         self.stream
     }
@@ -115,7 +124,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        self.recorder.record(&buffer.filled()[before..]);
+        let bytes = &buffer.filled()[before..];
+        self.recorder.record(bytes);
+        self.activity.received(bytes, Instant::now());
         Poll::Ready(Ok(()))
     }
 }
@@ -142,7 +153,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.activity.flushed(Instant::now());
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -1,9 +1,6 @@
 //! Connections of callers, and their graceful shutdown.
 
-use std::convert::Infallible;
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,30 +11,25 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use model::outcome::{self, RefusalReason};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use wire::backlog;
 
+use crate::activity::ConnectionLimits;
 use crate::body::AnswerBody;
+use crate::caller::CallerConnection;
 use crate::connection;
 use crate::forwarder::RequestForwarder;
 use crate::head;
 use crate::hooks::{CallerAddress, FallbackHandler};
-use crate::recorder::{HeadRecorder, RecordedStream};
+use crate::recorder::HeadRecorder;
 use crate::refusal::RequestRefusal;
 use crate::settings::ForwardSettings;
 
 /// Time in which a stopping server still accepts requests on open connections, so that a request
 /// that is already in transit is answered.
 const CLOSE_GRACE: Duration = Duration::from_millis(300);
-/// Longest time in which a lingering close reads and discards bytes.
-const MAX_LINGER: Duration = Duration::from_secs(1);
-/// Maximum number of bytes that a lingering close reads and discards.
-const MAX_LINGER_BYTES: usize = 4 << 20;
 /// Interval at which idle connections to backend servers are closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which the connection of a caller is closed if sent bytes are unacknowledged.
@@ -203,13 +195,14 @@
         );
         async_std::task::spawn(async move {
             let _permit = permit;
-            let service = service_fn(|request| future::ready(refusal_response(&request, &refusal)));
-            let mut http = server_builder(self.forwarder.settings())
-                .header_read_timeout(REFUSED_HEAD_TIMEOUT)
-                .keep_alive(false)
-                .serve_connection(TokioIo::new(stream), service);
-            let _ = future::poll_fn(|cx| http.poll_without_shutdown(cx)).await;
-            linger(http.into_parts().io.into_inner()).await;
+            let settings = self.forwarder.settings();
+            let recorder = HeadRecorder::new(settings.max_head_bytes);
+            let limits = connection_limits(REFUSED_HEAD_TIMEOUT);
+            let connection = CallerConnection::new(stream, recorder, limits);
+            let mut builder = server_builder(settings);
+            builder.keep_alive(false);
+            let answer = |request| future::ready(refusal_response(&request, &refusal));
+            let _ = connection.serve(&builder, answer, future::pending()).await;
         });
     }
 
@@ -237,24 +230,14 @@
         let mut phase = self.phase.subscribe();
         let settings = self.forwarder.settings();
         let recorder = HeadRecorder::new(settings.max_head_bytes);
-        let service = service_fn(|request| Box::pin(self.serve_request(request, peer, &recorder)));
-        let io = TokioIo::new(RecordedStream::new(stream, recorder.clone()));
-        let mut http = server_builder(settings).serve_connection(io, service);
-        let closing = Box::pin(wait_closing_idle(&mut phase));
-        let serving = future::poll_fn(|cx| http.poll_without_shutdown(cx));
-        let ended = match future::select(serving, closing).await {
-            Either::Left((ended, _)) => ended,
-            Either::Right(_) => {
-                Pin::new(&mut http).graceful_shutdown();
-                let serving = future::poll_fn(|cx| http.poll_without_shutdown(cx));
-                finish_connection(serving, &recorder).await
-            }
-        };
-        if let Err(err) = ended {
+        let limits = connection_limits(settings.head_timeout);
+        let connection = CallerConnection::new(stream, recorder.clone(), limits);
+        let builder = server_builder(settings);
+        let answer = |request| self.serve_request(request, peer, &recorder);
+        let closing = wait_closing_idle(&mut phase);
+        if let Err(err) = connection.serve(&builder, answer, closing).await {
             log::debug!(target: "forward", "connection of caller {peer} failed: {err}");
         }
-        let io = http.into_parts().io;
-        linger(io.into_inner().into_inner()).await;
         drop(permit);
     }
 
@@ -265,7 +248,7 @@
         request: Request<Incoming>,
         peer: SocketAddr,
         recorder: &HeadRecorder,
-    ) -> Result<Response<AnswerBody>, Infallible> {
+    ) -> Response<AnswerBody> {
         recorder.pause();
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
         let mut response = if chunked && !recorder.is_chunked_only(request.method().as_str()) {
@@ -280,7 +263,7 @@
             response.headers_mut().insert(CONNECTION, close);
         }
         recorder.restart();
-        Ok(response)
+        response
     }
 
     async fn handle_fallback(
@@ -302,20 +285,6 @@
     }
 }
 
-/// Serves a closing connection until it ends. Gives up a connection that has sent no request after
-/// the grace period.
-async fn finish_connection<F>(serving: F, recorder: &HeadRecorder) -> hyper::Result<()>
-where
-    F: Future<Output = hyper::Result<()>> + Unpin,
-{
-    let grace = Box::pin(tokio::time::sleep(CLOSE_GRACE));
-    match future::select(serving, grace).await {
-        Either::Left((ended, _)) => ended,
-        Either::Right(((), serving)) if recorder.has_request() => serving.await,
-        Either::Right(((), _)) => Ok(()),
-    }
-}
-
 /// Creates the refusal of a request whose end is ambiguous. It closes the connection, because the
 /// bytes that follow may be a smuggled request.
 fn ambiguous_framing() -> Response<AnswerBody> {
@@ -331,13 +300,10 @@
 
 /// Builds the response to a request on a connection above the limit. The outcome of a request with
 /// an idempotency key is unknown, because it may repeat an earlier request that ran.
-fn refusal_response(
-    request: &Request<Incoming>,
-    refusal: &RequestRefusal,
-) -> Result<Response<AnswerBody>, Infallible> {
+fn refusal_response(request: &Request<Incoming>, refusal: &RequestRefusal) -> Response<AnswerBody> {
     let may_be_repeated = request.headers().contains_key(outcome::KEY_HEADER);
     let refusal = refusal.clone().unknown_if(may_be_repeated);
-    Ok(refusal.to_response().map(AnswerBody::from))
+    refusal.to_response().map(AnswerBody::from)
 }
 
 /// Waits until connections without a request must be closed.
@@ -348,32 +314,21 @@
         .is_ok();
 }
 
+/// Returns the limits of a connection whose idle time and heads have this timeout.
+fn connection_limits(head_timeout: Duration) -> ConnectionLimits {
+    ConnectionLimits {
+        head_timeout,
+        close_grace: CLOSE_GRACE,
+    }
+}
+
+/// Returns the settings of the HTTP library, which leaves late heads to [`CallerConnection`].
 fn server_builder(settings: &ForwardSettings) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(settings.head_timeout)
+        .header_read_timeout(None)
         .max_headers(settings.max_headers)
         .max_header_size(settings.max_head_bytes)
         .max_buf_size(settings.max_head_bytes.max(MIN_BUFFER_BYTES));
     builder
 }
-
-/// Closes a connection with a lingering close: received bytes are read and discarded, because
-/// unread bytes would reset the connection and the last response could be lost.
-async fn linger(mut stream: TcpStream) {
-    if stream.shutdown().await.is_err() {
-        return;
-    }
-    let mut scratch = vec![0; 4096];
-    let reading = async {
-        let mut remaining = MAX_LINGER_BYTES;
-        while let Ok(count) = stream.read(&mut scratch).await {
-            remaining = remaining.saturating_sub(count);
-            if count == 0 || remaining == 0 {
-                break;
-            }
-        }
-    };
-    let _ = tokio::time::timeout(MAX_LINGER, reading).await;
-}
--- /dev/null
+++ b/crates/forward/tests/connection_ends.rs
@@ -0,0 +1,92 @@
+//! The end of a caller's connection loses no request.
+
+#![allow(missing_docs, clippy::unwrap_used, clippy::expect_used)]
+
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
+use support::{get, ok, respond, wait_until, FakeBackend, TestServer};
+
+const HEAD_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time within which a caller learns that its request was not read.
+const RESET_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Cause for which the server ends a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndCause {
+    IdleTime,
+    Stop,
+}
+
+/// Starts a server on which idle connections and late heads have 600 ms.
+fn start(backends: &[&FakeBackend]) -> TestServer {
+    TestServer::with(backends, |settings| settings.head_timeout = HEAD_TIMEOUT)
+}
+
+/// Starts the end of a server, or leaves it to the idle time.
+fn begin_end(server: &TestServer, cause: EndCause) -> Option<thread::JoinHandle<usize>> {
+    let server = server.caller_server.clone();
+    let stop = move || async_std::task::block_on(server.stop(Duration::from_secs(5))).unfinished;
+    (cause == EndCause::Stop).then(|| thread::spawn(stop))
+}
+
+/// The server read such a request and threw it away, and its caller waited for nothing.
+#[rstest]
+#[case::idle_after_an_answer(EndCause::IdleTime, true)]
+#[case::idle_since_its_start(EndCause::IdleTime, false)]
+#[case::stop_after_an_answer(EndCause::Stop, true)]
+#[case::stop_since_its_start(EndCause::Stop, false)]
+fn a_request_that_crosses_the_end_of_an_idle_connection_is_reset_unread(
+    #[case] cause: EndCause,
+    #[case] is_used: bool,
+) {
+    let backend = FakeBackend::start(vec![respond(&ok("x"))]);
+    let server = start(&[&backend]);
+    let mut caller = server.caller();
+    if is_used {
+        assert_eq!(caller.ask(&get("/s/svc/a")).unwrap().text(), "x");
+    }
+    assert!(wait_until(|| server.caller_server.connections() == 1));
+    let stopping = begin_end(&server, cause);
+    assert!(caller.is_closed());
+    caller.write(get("/s/svc/crossing").as_bytes());
+    assert!(caller.is_reset(RESET_TIMEOUT), "the request was read");
+    assert_eq!(backend.runs(), usize::from(is_used));
+    assert_eq!(stopping.map_or(0, |stopping| stopping.join().unwrap()), 0);
+}
+
+/// The server read such a request and threw it away although no answer had announced the end.
+#[test]
+fn a_request_that_crosses_the_end_after_an_answer_begun_before_the_stop_is_reset_unread() {
+    let body = "y".repeat(8 << 20);
+    let backend = FakeBackend::start(vec![respond(&ok(&body))]);
+    let server = TestServer::start(&[&backend]);
+    let mut caller = server.caller();
+    caller.write(get("/s/svc/a").as_bytes());
+    assert!(wait_until(|| backend.runs() == 1));
+    thread::sleep(Duration::from_millis(200));
+    let stopping = begin_end(&server, EndCause::Stop).unwrap();
+    thread::sleep(Duration::from_millis(600));
+    let answer = caller.answer(false).unwrap();
+    assert!(answer.complete);
+    assert_eq!(answer.header("connection"), "");
+    assert!(caller.is_closed());
+    caller.write(get("/s/svc/crossing").as_bytes());
+    assert!(caller.is_reset(RESET_TIMEOUT), "the request was read");
+    assert_eq!(stopping.join().unwrap(), 0);
+}
+
+/// A connection above the limit that had sent nothing was read and thrown away for a second.
+#[test]
+fn a_request_that_crosses_the_end_of_an_idle_connection_above_the_limit_is_reset_unread() {
+    let server = TestServer::with(&[], |settings| settings.max_connections = 1);
+    let _first = server.caller();
+    assert!(wait_until(|| server.caller_server.connections() == 1));
+    let mut above_limit = server.caller();
+    assert!(above_limit.is_closed());
+    above_limit.write(get("/health").as_bytes());
+    assert!(above_limit.is_reset(RESET_TIMEOUT), "the request was read");
+}
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -374,6 +374,18 @@
         self.buffer.is_empty() && fill(&mut self.stream, &mut self.buffer).is_none()
     }
 
+    /// Returns whether the server resets the connection within a time.
+    pub fn is_reset(&self, within: Duration) -> bool {
+        let end = Instant::now() + within;
+        while Instant::now() < end {
+            if self.stream.take_error().unwrap().is_some() {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        false
+    }
+
     /// Closes the connection in both directions.
     pub fn disconnect(self) {
         let _ = self.stream.shutdown(Shutdown::Both);
