fix(forward): a head that doesn't arrive in time is answered with 408

What callers saw: a request whose first bytes had arrived, but not the end of its head, got no answer when its time was over or the host stopped; the connection ended.

Cause: hyper ends a connection with a late head without an answer, and the server dropped what hyper had read, also the start of a request that had come together with the one before it.

Why this works: when the limit passes, the state of the connection and hyper's read buffer tell whether a part of a head has been read. If so, the answer is 408 with `Connection: close`, an announced end, so the lingering close may discard what follows.

connection_without_a_complete_request_does_not_delay_the_stop asserted that a partial head gets no answer, which was this fault. It now asserts the 408, its `Connection: close` and the end of the connection, within the same time.

--- a/crates/forward/src/caller.rs
+++ b/crates/forward/src/caller.rs
@@ -2,7 +2,7 @@
 //!
 //! A connection ends in one of two ways. If its last answer announced the end, the server closes its
 //! side, then reads and discards what still comes, because unread bytes would reset the connection
-//! and the answer could be lost. Otherwise nothing of a further request has been read, and the
+//! and the answer could be lost. A head that is late gets such an answer. Otherwise nothing of a further request has been read, and the
 //! socket is closed at once: a request that arrives later is reset unread, so that its caller may
 //! send it again.
 
@@ -32,6 +32,9 @@
 const MAX_LINGER: Duration = Duration::from_secs(1);
 /// Maximum number of bytes that a lingering close reads and discards.
 const MAX_LINGER_BYTES: usize = 4 << 20;
+/// Answer to a head that didn't arrive in time.
+const LATE_HEAD_ANSWER: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// Connection of a caller.
 #[derive(Debug)]
@@ -119,8 +122,11 @@
                 linger(stream.into_inner()).await;
                 return ended;
             }
-            let has_request = activity.is_in_head() || !activity::is_blank(&parts.read_buf);
-            if has_request || !has_unread_bytes(stream.socket()) {
+            if activity.is_in_head() || !activity::is_blank(&parts.read_buf) {
+                answer_late_head(stream.into_inner()).await;
+                return Ok(());
+            }
+            if !has_unread_bytes(stream.socket()) {
                 return Ok(());
             }
             // The kernel has bytes that the runtime hasn't reported yet.
@@ -144,6 +150,14 @@
     matches!(SockRef::from(socket).peek(&mut byte), Ok(count) if count > 0)
 }
 
+/// Answers a head that didn't arrive in time, and ends its connection.
+async fn answer_late_head(mut stream: TcpStream) {
+    let writing = stream.write_all(LATE_HEAD_ANSWER);
+    if let Ok(Ok(())) = tokio::time::timeout(MAX_LINGER, writing).await {
+        linger(stream).await;
+    }
+}
+
 /// Ends a connection whose end was announced: closes the server's side, then reads and discards
 /// bytes until the caller closes its side or a bound is reached.
 async fn linger(mut stream: TcpStream) {
--- a/crates/forward/tests/connection_ends.rs
+++ b/crates/forward/tests/connection_ends.rs
@@ -10,6 +10,8 @@
 use rstest::rstest;
 use support::{get, ok, respond, wait_until, FakeBackend, TestServer};
 
+/// Start of a request without its end.
+const PARTIAL: &str = "GET /s/svc/a HTTP/1.1\r\nho";
 const HEAD_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time within which a caller learns that its request was not read.
 const RESET_TIMEOUT: Duration = Duration::from_millis(200);
@@ -90,3 +92,52 @@
     above_limit.write(get("/health").as_bytes());
     assert!(above_limit.is_reset(RESET_TIMEOUT), "the request was read");
 }
+
+/// The server dropped what it had read of such a head, and its caller got no answer.
+#[rstest]
+#[case::idle_time_on_a_new_connection(EndCause::IdleTime, None, PARTIAL)]
+#[case::idle_time_after_an_answer(EndCause::IdleTime, Some(""), PARTIAL)]
+#[case::idle_time_behind_a_pipelined_request(EndCause::IdleTime, Some(PARTIAL), "")]
+#[case::stop_on_a_new_connection(EndCause::Stop, None, PARTIAL)]
+#[case::stop_after_an_answer(EndCause::Stop, Some(""), PARTIAL)]
+#[case::stop_behind_a_pipelined_request(EndCause::Stop, Some(PARTIAL), "")]
+fn a_head_that_does_not_arrive_in_time_is_answered_with_408(
+    #[case] cause: EndCause,
+    #[case] sent_with_first_request: Option<&str>,
+    #[case] sent_after_it: &str,
+) {
+    let backend = FakeBackend::start(vec![respond(&ok("x"))]);
+    let server = start(&[&backend]);
+    let mut caller = server.caller();
+    if let Some(more) = sent_with_first_request {
+        let request = get("/s/svc/a") + more;
+        assert_eq!(caller.ask(&request).unwrap().text(), "x");
+    }
+    caller.write(sent_after_it.as_bytes());
+    assert!(wait_until(|| server.caller_server.connections() == 1));
+    let stopping = begin_end(&server, cause);
+    let answer = caller.answer(false).expect("an answer");
+    assert_eq!(
+        (answer.status, answer.header("connection").as_str()),
+        (408, "close")
+    );
+    assert!(caller.is_closed());
+    drop(caller);
+    assert_eq!(stopping.map_or(0, |stopping| stopping.join().unwrap()), 0);
+}
+
+/// A head above the limit that was late was dropped.
+#[test]
+fn a_late_head_above_the_limit_of_connections_is_answered_with_408() {
+    let server = TestServer::with(&[], |settings| settings.max_connections = 1);
+    let _first = server.caller();
+    assert!(wait_until(|| server.caller_server.connections() == 1));
+    let mut above_limit = server.caller();
+    above_limit.write(PARTIAL.as_bytes());
+    let answer = above_limit.answer(false).expect("an answer");
+    assert_eq!(
+        (answer.status, answer.header("connection").as_str()),
+        (408, "close")
+    );
+    assert!(above_limit.is_closed());
+}
--- a/crates/forward/tests/planned_stop.rs
+++ b/crates/forward/tests/planned_stop.rs
@@ -113,7 +113,13 @@
     assert!(wait_until(|| server.caller_server.connections() == 2));
     let start = Instant::now();
     let stopping = stop(&server);
-    assert!(silent.is_closed() && partial.is_closed());
+    assert!(silent.is_closed());
+    let answer = partial.answer(false).unwrap();
+    assert_eq!(
+        (answer.status, answer.header("connection").as_str()),
+        (408, "close")
+    );
+    assert!(partial.is_closed());
     drop((silent, partial));
     assert_eq!(stopping.join().unwrap(), 0);
     assert!(
