fix(forward): an answer before the end of its request announces the end of the connection

What callers saw: a request refused before its body had been read got a whole answer without `Connection: close`; the connection then ended, and the rest of the body and a request behind it were read and thrown away.

Cause: hyper reads an unread body no further than what it has already received, and ends the connection otherwise. It decides that after the head of the answer has been written.

Evidence: connection_ends, an_answer_before_the_end_of_its_request_announces_the_end_of_the_connection; on the former code it failed (no `Connection` header).

Why this works: the body of a request remembers whether it was read to its end. If it wasn't when the answer begins, the answer announces the end, unless the whole body came with the head, in which case hyper drops it and keeps the connection; a_refusal_of_a_request_that_has_arrived_in_full_keeps_the_connection, which passed before too, guards that. A connection with an announced end is never served again after its limit, so the rest of a body can't be taken for a request.

--- a/crates/forward/src/activity.rs
+++ b/crates/forward/src/activity.rs
@@ -1,6 +1,7 @@
 //! Activity of a caller's connection, which decides when the connection may end.
 
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -15,6 +16,8 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionActivity {
     state: Mutex<ActivityState>,
+    /// Whether an answer announced the end of the connection.
+    announced: AtomicBool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -42,7 +45,8 @@
     /// Creates the activity of a connection that is idle from now on.
     pub(crate) fn start(now: Instant) -> Arc<Self> {
         let state = Mutex::new(ActivityState::Idle { since: now });
-        Arc::new(Self { state })
+        let announced = AtomicBool::new(false);
+        Arc::new(Self { state, announced })
     }
 
     /// Records that bytes were read. Line ends before a head don't begin a request.
@@ -58,6 +62,16 @@
         *self.lock() = ActivityState::Answering;
     }
 
+    /// Records that an answer announces the end of the connection.
+    pub(crate) fn announce_end(&self) {
+        self.announced.store(true, Ordering::Release);
+    }
+
+    /// Returns whether an answer announced the end of the connection.
+    pub(crate) fn is_announced(&self) -> bool {
+        self.announced.load(Ordering::Acquire)
+    }
+
     /// Records that the connection has taken the whole answer.
     fn end_answer(&self) {
         *self.lock() = ActivityState::Flushing;
--- a/crates/forward/src/body.rs
+++ b/crates/forward/src/body.rs
@@ -41,6 +41,49 @@
     }
 }
 
+/// Body of a request from a caller, which remembers whether it was read to its end.
+#[derive(Debug)]
+pub struct CallerBody {
+    incoming: Incoming,
+    ended: Arc<AtomicBool>,
+}
+
+impl CallerBody {
+    /// Wraps a body. Returns with it whether it was read to its end, which stays current.
+    pub(crate) fn track(incoming: Incoming) -> (Self, Arc<AtomicBool>) {
+        let ended = Arc::new(AtomicBool::new(incoming.is_end_stream()));
+        let body = Self {
+            incoming,
+            ended: ended.clone(),
+        };
+        (body, ended)
+    }
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        if frame.is_none() || self.incoming.is_end_stream() {
+            self.ended.store(true, Ordering::Release);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
 /// Part of a body that was read into memory.
 #[derive(Debug)]
 pub(crate) enum BodyPrefix {
@@ -56,7 +99,7 @@
 ///
 /// Fails if the connection fails before.
 pub(crate) async fn read_up_to(
-    body: &mut Incoming,
+    body: &mut (impl Body<Data = Bytes, Error = hyper::Error> + Unpin),
     max_bytes: usize,
 ) -> Result<BodyPrefix, BodyError> {
     let mut buffer = BytesMut::new();
@@ -137,7 +180,7 @@
 #[derive(Debug)]
 pub(crate) struct StreamedUpload {
     start: Bytes,
-    rest: Incoming,
+    rest: CallerBody,
     /// Number of bytes until the size limit.
     remaining_bytes: u64,
     state: Arc<UploadState>,
@@ -165,7 +208,7 @@
 
 impl StreamedUpload {
     /// Creates a body of `start` followed by `rest`, which together have up to `max_bytes`.
-    pub(crate) fn new(start: Bytes, rest: Incoming, max_bytes: u64) -> Self {
+    pub(crate) fn new(start: Bytes, rest: CallerBody, max_bytes: u64) -> Self {
         Self {
             start,
             rest,
--- a/crates/forward/src/caller.rs
+++ b/crates/forward/src/caller.rs
@@ -14,6 +14,7 @@
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
+use http::header::CONNECTION;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -93,8 +94,13 @@
             activity.begin_answer();
             let answering = answer(request);
             Box::pin(async {
+                let response = answering.await;
+                // Answers of a host carry no other value in this header.
+                if response.headers().contains_key(CONNECTION) {
+                    activity.announce_end();
+                }
                 let tracked = |body| TrackedBody::new(body, activity.clone());
-                Ok::<_, Infallible>(answering.await.map(tracked))
+                Ok::<_, Infallible>(response.map(tracked))
             })
         });
         let mut closing = pin!(closing);
@@ -118,9 +124,17 @@
             let end = serving.await;
             let parts = http.into_parts();
             stream = parts.io.into_inner();
-            if let ServiceEnd::Ended(ended) = end {
-                linger(stream.into_inner()).await;
-                return ended;
+            match end {
+                ServiceEnd::Ended(ended) => {
+                    linger(stream.into_inner()).await;
+                    return ended;
+                }
+                // What still comes may be the rest of a body.
+                ServiceEnd::LimitPassed if activity.is_announced() => {
+                    linger(stream.into_inner()).await;
+                    return Ok(());
+                }
+                ServiceEnd::LimitPassed => {}
             }
             if activity.is_in_head() || !activity::is_blank(&parts.read_buf) {
                 answer_late_head(stream.into_inner()).await;
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -8,12 +8,11 @@
 use futures_util::future::{self, Either};
 use http::header::{HeaderName, HeaderValue};
 use http::{request, Request, Response};
-use hyper::body::Incoming;
 use model::outcome::{self, RefusalReason};
 use tokio::sync::{oneshot, Semaphore};
 
 use crate::attempt::{self, AttemptOutcome, AttemptRunner, ConnectionChoice, SentCount};
-use crate::body::{self, AnswerBody, BodyPrefix, RequestBody, StreamedUpload};
+use crate::body::{self, AnswerBody, BodyPrefix, CallerBody, RequestBody, StreamedUpload};
 use crate::buffer::{BufferBudget, BufferPermit};
 use crate::head::{self, RequestHead};
 use crate::hooks::ClaimStore;
@@ -108,7 +107,7 @@
     }
 
     /// Forwards a request and returns the answer of a backend server or a refusal.
-    pub async fn forward(self: &Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn forward(self: &Arc<Self>, request: Request<CallerBody>) -> Response<AnswerBody> {
         let start = Instant::now();
         let (parts, incoming) = request.into_parts();
         let (id, result) = match head::parse_request_id(&parts.headers) {
@@ -144,7 +143,7 @@
     async fn answer(
         self: &Arc<Self>,
         parts: request::Parts,
-        incoming: Incoming,
+        incoming: CallerBody,
         id: &HeaderValue,
     ) -> AnswerResult {
         let head = RequestHead::parse(&parts, id, &self.settings)?;
@@ -164,7 +163,7 @@
         &self,
         parts: request::Parts,
         head: RequestHead,
-        incoming: Incoming,
+        incoming: CallerBody,
     ) -> Result<ForwardRun, RequestRefusal> {
         let deadline = Instant::now() + head.timeout;
         let buffer = self.reserve_buffer(&head)?;
@@ -195,7 +194,7 @@
     async fn read_body(
         &self,
         head: &RequestHead,
-        mut incoming: Incoming,
+        mut incoming: CallerBody,
     ) -> Result<RequestBody, RequestRefusal> {
         let max_bytes = self.settings.max_buffered_body_bytes as u64;
         let prefix = match head.body_bytes {
--- a/crates/forward/src/recorder.rs
+++ b/crates/forward/src/recorder.rs
@@ -51,6 +51,15 @@
             && find(&head, b"\ncontent-length").is_none()
     }
 
+    /// Returns whether `body_bytes` bytes of the body arrived together with the recorded head.
+    /// Returns false if the head was not recorded in full.
+    pub(crate) fn has_body(&self, body_bytes: usize) -> bool {
+        let state = self.lock();
+        let recorded = state.head.trim_ascii_start();
+        let end = find(recorded, HEAD_END).map(|end| end + HEAD_END.len());
+        end.is_some_and(|end| recorded.len() - end >= body_bytes)
+    }
+
     /// Stops recording because the head is complete.
     pub(crate) fn pause(&self) {
         self.lock().paused = true;
--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -1,6 +1,7 @@
 //! Connections of callers, and their graceful shutdown.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,7 @@
 use futures_util::future::{self, Either};
 use http::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING};
 use http::{Request, Response};
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -17,7 +19,7 @@
 use wire::backlog;
 
 use crate::activity::ConnectionLimits;
-use crate::body::AnswerBody;
+use crate::body::{AnswerBody, CallerBody};
 use crate::caller::CallerConnection;
 use crate::connection;
 use crate::forwarder::RequestForwarder;
@@ -250,6 +252,13 @@
         recorder: &HeadRecorder,
     ) -> Response<AnswerBody> {
         recorder.pause();
+        // The HTTP library reads and drops an unread body only if all of it has arrived.
+        let has_whole_body = request.body().size_hint().exact().is_some_and(|bytes| {
+            usize::try_from(bytes).is_ok_and(|body_bytes| recorder.has_body(body_bytes))
+        });
+        let (parts, incoming) = request.into_parts();
+        let (body, body_ended) = CallerBody::track(incoming);
+        let request = Request::from_parts(parts, body);
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
         let mut response = if chunked && !recorder.is_chunked_only(request.method().as_str()) {
             ambiguous_framing()
@@ -258,7 +267,8 @@
         } else {
             self.handle_fallback(request, peer).await.map(Into::into)
         };
-        if *self.phase.borrow() != ServerPhase::Serving {
+        let leaves_body = !has_whole_body && !body_ended.load(Ordering::Acquire);
+        if leaves_body || *self.phase.borrow() != ServerPhase::Serving {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -268,11 +278,11 @@
 
     async fn handle_fallback(
         &self,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         peer: SocketAddr,
     ) -> Response<Bytes> {
-        let (parts, incoming) = request.into_parts();
-        let reading = Limited::new(incoming, MAX_FALLBACK_BODY_BYTES).collect();
+        let (parts, body) = request.into_parts();
+        let reading = Limited::new(body, MAX_FALLBACK_BODY_BYTES).collect();
         let timeout = self.forwarder.settings().head_timeout;
         let body = match tokio::time::timeout(timeout, reading).await {
             Ok(Ok(body)) => body.to_bytes(),
--- a/crates/forward/tests/connection_ends.rs
+++ b/crates/forward/tests/connection_ends.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use support::{get, ok, respond, wait_until, FakeBackend, TestServer};
+use support::{get, ok, post, respond, wait_until, FakeBackend, TestServer};
 
 /// Start of a request without its end.
 const PARTIAL: &str = "GET /s/svc/a HTTP/1.1\r\nho";
@@ -141,3 +141,27 @@
     );
     assert!(above_limit.is_closed());
 }
+
+/// The rest of the body and a request behind it were thrown away although nothing announced it.
+#[test]
+fn an_answer_before_the_end_of_its_request_announces_the_end_of_the_connection() {
+    let server = TestServer::start(&[]);
+    let mut caller = server.caller();
+    caller.write(b"POST /s/none/a HTTP/1.1\r\nhost: e\r\ncontent-length: 600000\r\n\r\n");
+    let answer = caller.answer(false).unwrap();
+    assert!(answer.status >= 400, "{}", answer.status);
+    assert_eq!(answer.header("connection"), "close");
+    assert!(caller.is_closed());
+}
+
+/// Each refusal of a small request would have cost its caller a connection.
+#[test]
+fn a_refusal_of_a_request_that_has_arrived_in_full_keeps_the_connection() {
+    let server = TestServer::start(&[]);
+    let mut caller = server.caller();
+    for _ in 0..2 {
+        let answer = caller.ask(&post("/s/none/a", "", "body")).unwrap();
+        assert!(answer.status >= 400, "{}", answer.status);
+        assert_eq!(answer.header("connection"), "");
+    }
+}
