fix(control): bytes behind an operator's request don't reset its answer

What callers saw: an operator's client that sent more bytes behind its request got the answer, then a reset instead of the end of the connection; on a slow link the reset can overtake the answer.

Cause: the answer announces the end of the connection, and the listener closed the socket at once. Unread bytes make the kernel reset it. Only rejections ended by a lingering close.

Evidence: bytes_behind_a_request_do_not_reset_its_answer; on the former code it failed with ConnectionReset.

Why this works: both ends are announced by `connection: close`, and both now close the writing side, then read and discard data until the client closes, within the same bounds.

--- a/crates/control/src/operator/listener.rs
+++ b/crates/control/src/operator/listener.rs
@@ -34,11 +34,11 @@
     /// Most open connections, rejected ones included; further ones are closed without an answer.
     pub const MAX_OPEN_CONNECTIONS: usize = 2 * Self::MAX_SERVED_CONNECTIONS;
 
-    /// Time for which data from a rejected client is still read before its connection is closed.
+    /// Time for which data from an answered client is still read before its connection is closed.
     /// Unread data would reset the connection, and the client might lose the answer.
     pub const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
-    /// Most bytes that are still read from a rejected client.
+    /// Most bytes that are still read from an answered client.
     const MAX_LINGER_BYTES: u64 = 256 << 10;
 
     /// Timeout until the whole request has arrived.
@@ -156,12 +156,13 @@
             return Ok(reject(&mut stream, rejection).await?);
         }
     };
-    let request = BufferedRequest::new(request, stream);
+    let request = BufferedRequest::new(request, stream.clone());
     async_h1::accept(request, |request| {
         let app = app.clone();
         async move { app.answer(request).await }
     })
-    .await
+    .await?;
+    Ok(linger(&mut stream).await?)
 }
 
 /// Reason why a request can't be read.
@@ -210,7 +211,7 @@
     Ok(Some(request))
 }
 
-/// Answers with a rejection and closes the connection after a lingering read.
+/// Answers with a rejection and ends the connection.
 async fn reject(stream: &mut TcpStream, rejection: RequestRejection) -> io::Result<()> {
     let RequestRejection { status, reason } = rejection;
     let body = serde_json::json!({ "error": reason }).to_string();
@@ -221,6 +222,12 @@
     );
     stream.write_all(answer.as_bytes()).await?;
     stream.flush().await?;
+    linger(stream).await
+}
+
+/// Ends a connection whose answer announced the end: closes the server's side, then reads and
+/// discards data until the client closes its side or a bound is reached.
+async fn linger(stream: &mut TcpStream) -> io::Result<()> {
     stream.shutdown(Shutdown::Write)?;
     let rest = stream.take(OperatorListener::MAX_LINGER_BYTES);
     let drained = async_std::io::copy(rest, async_std::io::sink());
--- a/crates/control/tests/operator_interface.rs
+++ b/crates/control/tests/operator_interface.rs
@@ -49,12 +49,17 @@
         (answer.status, answer.json().unwrap())
     }
 
-    /// Sends raw bytes and returns the status line of the answer.
-    fn send_raw(&self, bytes: &[u8]) -> String {
-        let mut stream = TcpStream::connect(self.address).unwrap();
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
         stream
             .set_read_timeout(Some(Duration::from_secs(10)))
             .unwrap();
+        stream
+    }
+
+    /// Sends raw bytes and returns the status line of the answer.
+    fn send_raw(&self, bytes: &[u8]) -> String {
+        let mut stream = self.connect();
         // The server may reject the request before it has read all of it.
         let _ = stream.write_all(bytes);
         let mut answer = Vec::new();
@@ -249,6 +254,18 @@
     drop(idle);
 }
 
+/// Unread bytes behind a request reset its connection, and the answer could be lost.
+#[test]
+fn bytes_behind_a_request_do_not_reset_its_answer() {
+    let replica = SingleReplica::start();
+    let mut stream = replica.connect();
+    let request = format!("GET /health HTTP/1.1\r\n{HOST}\r\n");
+    let _ = stream.write_all(request.repeat(2_000).as_bytes());
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).expect("no reset");
+    assert!(answer.starts_with(b"HTTP/1.1 200"));
+}
+
 /// Starts a replica with the given flags.
 fn start_replica(flags: &[(&str, String)], folder: &std::path::Path) -> ProofProcess {
     let plan = ProcessPlan::new("wisteria-control", "c1").env("WISTERIA_TOKEN", TOKEN);
