fix(control): an idle operators' connection ends unread, without an unasked answer

What callers saw: a client that connected and sent nothing for 5 s got an answer 408 to no request. A request that it sent in the next 500 ms was read and thrown away, and the client took the 408 for its answer.

Cause: the timeout of a request didn't tell a connection that had sent nothing from one with a late request, and ended both by an answer and a lingering close.

Evidence: a_request_that_crosses_the_end_of_an_idle_connection_is_reset_unread; on the former code it failed (an answer came).

Why this works: what was read is kept outside the timeout. If nothing was read and nothing waits in the socket, the socket is closed at once, so the kernel resets what arrives later and the client may send it again. A late request is answered with 408 as before.

--- a/crates/control/src/operator/listener.rs
+++ b/crates/control/src/operator/listener.rs
@@ -140,20 +140,26 @@
         };
         return Ok(reject(&mut stream, rejection).await?);
     }
-    let read = future::timeout(OperatorListener::REQUEST_TIMEOUT, read_request(&mut stream));
-    let request = match read.await {
-        Ok(Ok(Some(request))) => request,
-        Ok(Ok(None)) => return Ok(()),
-        Ok(Err(RequestError::Io(e))) => return Err(e.into()),
-        Ok(Err(RequestError::Rejected(rejection))) => {
-            return Ok(reject(&mut stream, rejection).await?);
-        }
-        Err(_) => {
-            let rejection = RequestRejection {
-                status: "408 Request Timeout",
-                reason: "send the whole request within 5 s",
-            };
-            return Ok(reject(&mut stream, rejection).await?);
+    let mut bytes = Vec::new();
+    let request = loop {
+        let reading = read_request(&mut stream, &mut bytes);
+        match future::timeout(OperatorListener::REQUEST_TIMEOUT, reading).await {
+            Ok(Ok(Some(request))) => break request,
+            Ok(Ok(None)) => return Ok(()),
+            Ok(Err(RequestError::Io(e))) => return Err(e.into()),
+            Ok(Err(RequestError::Rejected(rejection))) => {
+                return Ok(reject(&mut stream, rejection).await?);
+            }
+            Err(_) if !bytes.is_empty() => {
+                let rejection = RequestRejection {
+                    status: "408 Request Timeout",
+                    reason: "send the whole request within 5 s",
+                };
+                return Ok(reject(&mut stream, rejection).await?);
+            }
+            Err(_) if has_unread_bytes(&stream).await => {}
+            // Nothing was read, so a request that arrives later is reset and may be sent again.
+            Err(_) => return Ok(()),
         }
     };
     let request = BufferedRequest::new(request, stream.clone());
@@ -178,8 +184,11 @@
 }
 
 /// Reads one whole request; `None` where the client closed the connection without sending any data.
-async fn read_request(stream: &mut TcpStream) -> Result<Option<Vec<u8>>, RequestError> {
-    let mut bytes = Vec::new();
+/// `bytes` takes what is read of the head, so that it is empty only if nothing was read.
+async fn read_request(
+    stream: &mut TcpStream,
+    bytes: &mut Vec<u8>,
+) -> Result<Option<Vec<u8>>, RequestError> {
     let mut chunk = [0; 8 << 10];
     let head = loop {
         let count = stream.read(&mut chunk).await?;
@@ -190,7 +199,7 @@
             return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
         }
         bytes.extend_from_slice(&chunk[..count]);
-        if let Some(head) = RequestHead::parse(&bytes).map_err(RequestError::Rejected)? {
+        if let Some(head) = RequestHead::parse(bytes).map_err(RequestError::Rejected)? {
             break head;
         }
     };
@@ -211,6 +220,13 @@
     Ok(Some(request))
 }
 
+/// Returns whether a socket has bytes that weren't read.
+async fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    let peeked = future::timeout(Duration::ZERO, stream.peek(&mut byte)).await;
+    matches!(peeked, Ok(Ok(count)) if count > 0)
+}
+
 /// Answers with a rejection and ends the connection.
 async fn reject(stream: &mut TcpStream, rejection: RequestRejection) -> io::Result<()> {
     let RequestRejection { status, reason } = rejection;
--- a/crates/control/tests/operator_interface.rs
+++ b/crates/control/tests/operator_interface.rs
@@ -266,6 +266,20 @@
     assert!(answer.starts_with(b"HTTP/1.1 200"));
 }
 
+/// An unasked answer 408 came, and the request was read and thrown away.
+#[test]
+fn a_request_that_crosses_the_end_of_an_idle_connection_is_reset_unread() {
+    let replica = SingleReplica::start();
+    let mut stream = replica.connect();
+    assert_eq!(stream.read(&mut [0; 16]).unwrap(), 0, "an answer came");
+    let request = format!("GET /health HTTP/1.1\r\n{HOST}\r\n");
+    stream.write_all(request.as_bytes()).unwrap();
+    wait::wait_until("a reset", Duration::from_millis(200), || {
+        stream.take_error().unwrap().is_some()
+    })
+    .unwrap();
+}
+
 /// Starts a replica with the given flags.
 fn start_replica(flags: &[(&str, String)], folder: &std::path::Path) -> ProofProcess {
     let plan = ProcessPlan::new("wisteria-control", "c1").env("WISTERIA_TOKEN", TOKEN);
