refactor(wire, forward): the ends of served connections move to wire

Other listeners need the same ends, so `wire::served` holds them for any stream and any body of an answer. The stream that records activity is a wrapper of its own; the recorder of heads stays in forward. The timeout for heads of hyper is switched off where the connection is served. Logic is unchanged.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -41,10 +41,8 @@
 pub mod settings;
 pub mod steered;
 
-mod activity;
 mod attempt;
 mod buffer;
-mod caller;
 mod connection;
 mod pool;
 mod recorder;
--- a/crates/forward/src/recorder.rs
+++ b/crates/forward/src/recorder.rs
@@ -8,12 +8,10 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
-use std::time::Instant;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-
-use crate::activity::ConnectionActivity;
+use wire::served::ServedStream;
 
 /// Bytes that end the head of a request.
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -91,36 +89,26 @@
     bytes.windows(wanted.len()).position(|part| part == wanted)
 }
 
-/// Stream of a caller whose received bytes pass through a [`HeadRecorder`], and which records the
-/// activity of its connection.
+/// Stream of a caller whose received bytes pass through a [`HeadRecorder`].
 #[derive(Debug)]
 pub(crate) struct RecordedStream {
     stream: TcpStream,
     recorder: Arc<HeadRecorder>,
-    activity: Arc<ConnectionActivity>,
 }
 
 impl RecordedStream {
     /// Wraps a stream.
-    pub(crate) fn new(
-        stream: TcpStream,
-        recorder: Arc<HeadRecorder>,
-        activity: Arc<ConnectionActivity>,
-    ) -> Self {
-        Self {
-            stream,
-            recorder,
-            activity,
-        }
+    pub(crate) fn new(stream: TcpStream, recorder: Arc<HeadRecorder>) -> Self {
+        Self { stream, recorder }
     }
+}
 
-    /// Returns the wrapped stream.
-    pub(crate) fn socket(&self) -> &TcpStream {
+impl ServedStream for RecordedStream {
+    fn socket(&self) -> &TcpStream {
         &self.stream
     }
 
-    /// Unwraps the stream.
-    pub(crate) fn into_inner(self) -> TcpStream {
+    fn into_socket(self) -> TcpStream {
         self.stream
     }
 }
@@ -133,9 +121,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        let bytes = &buffer.filled()[before..];
-        self.recorder.record(bytes);
-        self.activity.received(bytes, Instant::now());
+        self.recorder.record(&buffer.filled()[before..]);
         Poll::Ready(Ok(()))
     }
 }
@@ -162,9 +148,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
-        self.activity.flushed(Instant::now());
-        Poll::Ready(Ok(()))
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/forward/src/server.rs
+++ b/crates/forward/src/server.rs
@@ -17,15 +17,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use wire::backlog;
+use wire::served::{ConnectionLimits, ServedConnection};
 
-use crate::activity::ConnectionLimits;
 use crate::body::{AnswerBody, CallerBody};
-use crate::caller::CallerConnection;
 use crate::connection;
 use crate::forwarder::RequestForwarder;
 use crate::head;
 use crate::hooks::{CallerAddress, FallbackHandler};
-use crate::recorder::HeadRecorder;
+use crate::recorder::{HeadRecorder, RecordedStream};
 use crate::refusal::RequestRefusal;
 use crate::settings::ForwardSettings;
 
@@ -200,11 +199,12 @@
             let settings = self.forwarder.settings();
             let recorder = HeadRecorder::new(settings.max_head_bytes);
             let limits = connection_limits(REFUSED_HEAD_TIMEOUT);
-            let connection = CallerConnection::new(stream, recorder, limits);
+            let stream = RecordedStream::new(stream, recorder);
+            let connection = ServedConnection::new(stream, limits);
             let mut builder = server_builder(settings);
             builder.keep_alive(false);
             let answer = |request| future::ready(refusal_response(&request, &refusal));
-            let _ = connection.serve(&builder, answer, future::pending()).await;
+            let _ = connection.serve(builder, answer, future::pending()).await;
         });
     }
 
@@ -233,11 +233,12 @@
         let settings = self.forwarder.settings();
         let recorder = HeadRecorder::new(settings.max_head_bytes);
         let limits = connection_limits(settings.head_timeout);
-        let connection = CallerConnection::new(stream, recorder.clone(), limits);
+        let stream = RecordedStream::new(stream, recorder.clone());
+        let connection = ServedConnection::new(stream, limits);
         let builder = server_builder(settings);
         let answer = |request| self.serve_request(request, peer, &recorder);
         let closing = wait_closing_idle(&mut phase);
-        if let Err(err) = connection.serve(&builder, answer, closing).await {
+        if let Err(err) = connection.serve(builder, answer, closing).await {
             log::debug!(target: "forward", "connection of caller {peer} failed: {err}");
         }
         drop(permit);
@@ -332,11 +333,9 @@
     }
 }
 
-/// Returns the settings of the HTTP library, which leaves late heads to [`CallerConnection`].
 fn server_builder(settings: &ForwardSettings) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
-        .header_read_timeout(None)
         .max_headers(settings.max_headers)
         .max_header_size(settings.max_head_bytes)
         .max_buf_size(settings.max_head_bytes.max(MIN_BUFFER_BYTES));
--- a/crates/forward/src/activity.rs
+++ b/crates/wire/src/activity.rs
@@ -1,17 +1,16 @@
-//! Activity of a caller's connection, which decides when the connection may end.
+//! Activity of an accepted HTTP/1 connection, which decides when the connection may end.
 
+use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::body::{AnswerBody, BodyError};
-
-/// Activity of a caller's connection. A connection ends only while it is idle or a head is late, so
+/// Activity of a connection. A connection ends only while it is idle or a head is late, so
 /// that no request is read and dropped.
 #[derive(Debug)]
 pub(crate) struct ConnectionActivity {
@@ -34,11 +33,11 @@
 
 /// Limits on a connection that has no complete request.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct ConnectionLimits {
+pub struct ConnectionLimits {
     /// Longest idle time, and longest time between the first byte and the last of a head.
-    pub(crate) head_timeout: Duration,
+    pub head_timeout: Duration,
     /// The same for a connection that is being closed.
-    pub(crate) close_grace: Duration,
+    pub close_grace: Duration,
 }
 
 impl ConnectionActivity {
@@ -118,26 +117,26 @@
 
 /// Body of an answer that records its end in the activity of its connection.
 #[derive(Debug)]
-pub(crate) struct TrackedBody {
-    body: AnswerBody,
+pub(crate) struct TrackedBody<B> {
+    body: B,
     activity: Arc<ConnectionActivity>,
 }
 
-impl TrackedBody {
+impl<B> TrackedBody<B> {
     /// Wraps the body of an answer on a connection.
-    pub(crate) fn new(body: AnswerBody, activity: Arc<ConnectionActivity>) -> Self {
+    pub(crate) fn new(body: B, activity: Arc<ConnectionActivity>) -> Self {
         Self { body, activity }
     }
 }
 
-impl Body for TrackedBody {
-    type Data = Bytes;
-    type Error = BodyError;
+impl<B: Body + Unpin> Body for TrackedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
@@ -150,8 +149,73 @@
     }
 }
 
-impl Drop for TrackedBody {
+impl<B> Drop for TrackedBody<B> {
     fn drop(&mut self) {
         self.activity.end_answer();
     }
 }
+
+/// Stream that records the activity of its connection.
+#[derive(Debug)]
+pub(crate) struct ActiveStream<S> {
+    stream: S,
+    activity: Arc<ConnectionActivity>,
+}
+
+impl<S> ActiveStream<S> {
+    /// Wraps the stream of a connection.
+    pub(crate) fn new(stream: S, activity: Arc<ConnectionActivity>) -> Self {
+        Self { stream, activity }
+    }
+
+    /// Unwraps the stream.
+    pub(crate) fn into_inner(self) -> S {
+        self.stream
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for ActiveStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        self.activity
+            .received(&buffer.filled()[before..], Instant::now());
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for ActiveStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.activity.flushed(Instant::now());
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,5 @@
 //! gRPC messages and connections between the processes of the system, and HTTP connections to
-//! backend servers.
+//! backend servers and from clients.
 //!
 //! The messages and services are defined in `proto/wisteria.proto`. `cargo run -p codegen`
 //! generates the code in [`v1`] from that file. The code is committed, so that a build runs no
@@ -13,6 +13,7 @@
 //! | [`listen`] | limits on incoming gRPC connections |
 //! | [`token`] | the access token of a call, and interceptors that add and check it |
 //! | [`http`] | HTTP/1 connections to backend servers |
+//! | [`served`] | accepted HTTP/1 connections, and how they end |
 //! | [`status`] | which statuses end an exchange |
 //! | [`metered`] | a stream with limited reads |
 
@@ -21,9 +22,12 @@
 pub mod http;
 pub mod listen;
 pub mod metered;
+pub mod served;
 pub mod status;
 pub mod token;
 
+mod activity;
+
 /// Generated messages, clients and servers.
 #[allow(
     missing_docs,
--- a/crates/forward/src/caller.rs
+++ b/crates/wire/src/served.rs
@@ -1,12 +1,13 @@
-//! Connection of a caller, from its accept to its end.
+//! Accepted HTTP/1 connections, from the accept to the end.
 //!
 //! A connection ends in one of two ways. If its last answer announced the end, the server closes its
 //! side, then reads and discards what still comes, because unread bytes would reset the connection
-//! and the answer could be lost. A head that is late gets such an answer. Otherwise nothing of a further request has been read, and the
-//! socket is closed at once: a request that arrives later is reset unread, so that its caller may
-//! send it again.
+//! and the answer could be lost. A late head gets such an answer. Otherwise nothing of a further
+//! request has been read, and the socket is closed at once: a request that arrives later is reset
+//! unread, so that its client may send it again.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::{self, Future};
 use std::mem::MaybeUninit;
 use std::pin::{pin, Pin};
@@ -16,18 +17,18 @@
 
 use http::header::CONNECTION;
 use http::{Request, Response};
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-use crate::activity::{self, ConnectionActivity, ConnectionLimits, TrackedBody};
-use crate::body::AnswerBody;
-use crate::recorder::{HeadRecorder, RecordedStream};
+pub use crate::activity::ConnectionLimits;
+use crate::activity::{self, ActiveStream, ConnectionActivity, TrackedBody};
 
 /// Longest time in which a lingering close reads and discards bytes.
 const MAX_LINGER: Duration = Duration::from_secs(1);
@@ -37,10 +38,29 @@
 const LATE_HEAD_ANSWER: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// Connection of a caller.
+/// Stream of a served connection.
+pub trait ServedStream: AsyncRead + AsyncWrite + Unpin {
+    /// Returns the socket.
+    fn socket(&self) -> &TcpStream;
+
+    /// Unwraps the socket.
+    fn into_socket(self) -> TcpStream;
+}
+
+impl ServedStream for TcpStream {
+    fn socket(&self) -> &TcpStream {
+        self
+    }
+
+    fn into_socket(self) -> TcpStream {
+        self
+    }
+}
+
+/// Accepted connection whose requests are answered.
 #[derive(Debug)]
-pub(crate) struct CallerConnection {
-    stream: RecordedStream,
+pub struct ServedConnection<S> {
+    stream: S,
     activity: Arc<ConnectionActivity>,
     limits: ConnectionLimits,
 }
@@ -48,43 +68,43 @@
 /// End of the service on a connection.
 #[derive(Debug)]
 enum ServiceEnd {
-    /// The caller or an announcement ended it, or it failed.
+    /// The client or an announcement ended it, or it failed.
     Ended(hyper::Result<()>),
     /// No complete request arrived in time.
     LimitPassed,
 }
 
-impl CallerConnection {
-    /// Takes over an accepted connection whose heads are kept by `recorder`.
-    pub(crate) fn new(
-        stream: TcpStream,
-        recorder: Arc<HeadRecorder>,
-        limits: ConnectionLimits,
-    ) -> Self {
-        let activity = ConnectionActivity::start(Instant::now());
+impl<S: ServedStream> ServedConnection<S> {
+    /// Takes over an accepted connection.
+    pub fn new(stream: S, limits: ConnectionLimits) -> Self {
         Self {
-            stream: RecordedStream::new(stream, recorder, activity.clone()),
-            activity,
+            stream,
+            activity: ConnectionActivity::start(Instant::now()),
             limits,
         }
     }
 
-    /// Answers requests until the connection ends. From the time at which `closing` is ready, it
-    /// ends as soon as it has been without a request for a short time.
+    /// Answers requests until the connection ends. An answer with the header `Connection` announces
+    /// the end. From the time at which `closing` is ready, the connection ends as soon as it has been
+    /// without a request for a short time.
     ///
     /// # Errors
     ///
     /// Fails if the connection fails.
-    pub(crate) async fn serve<A, F>(
+    pub async fn serve<A, B, F>(
         self,
-        builder: &http1::Builder,
+        mut builder: http1::Builder,
         answer: impl Fn(Request<Incoming>) -> A,
         closing: F,
     ) -> hyper::Result<()>
     where
-        A: Future<Output = Response<AnswerBody>>,
+        A: Future<Output = Response<B>>,
+        B: Body + Unpin + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
         F: Future<Output = ()>,
     {
+        // The library's timeout for heads would also end idle connections.
+        builder.header_read_timeout(None);
         let Self {
             mut stream,
             activity,
@@ -95,7 +115,6 @@
             let answering = answer(request);
             Box::pin(async {
                 let response = answering.await;
-                // Answers of a host carry no other value in this header.
                 if response.headers().contains_key(CONNECTION) {
                     activity.announce_end();
                 }
@@ -107,7 +126,10 @@
         let mut closing_at = None;
         let mut timer = pin!(tokio::time::sleep(limits.head_timeout));
         loop {
-            let mut http = builder.serve_connection(TokioIo::new(stream), &service);
+            let mut http = builder.serve_connection(
+                TokioIo::new(ActiveStream::new(stream, activity.clone())),
+                &service,
+            );
             let serving = future::poll_fn(|cx| {
                 if let Poll::Ready(ended) = http.poll_without_shutdown(cx) {
                     return Poll::Ready(ServiceEnd::Ended(ended));
@@ -123,21 +145,21 @@
             });
             let end = serving.await;
             let parts = http.into_parts();
-            stream = parts.io.into_inner();
+            stream = parts.io.into_inner().into_inner();
             match end {
                 ServiceEnd::Ended(ended) => {
-                    linger(stream.into_inner()).await;
+                    linger(stream.into_socket()).await;
                     return ended;
                 }
                 // What still comes may be the rest of a body.
                 ServiceEnd::LimitPassed if activity.is_announced() => {
-                    linger(stream.into_inner()).await;
+                    linger(stream.into_socket()).await;
                     return Ok(());
                 }
                 ServiceEnd::LimitPassed => {}
             }
             if activity.is_in_head() || !activity::is_blank(&parts.read_buf) {
-                answer_late_head(stream.into_inner()).await;
+                answer_late_head(stream.into_socket()).await;
                 return Ok(());
             }
             if !has_unread_bytes(stream.socket()) {
@@ -173,7 +195,7 @@
 }
 
 /// Ends a connection whose end was announced: closes the server's side, then reads and discards
-/// bytes until the caller closes its side or a bound is reached.
+/// bytes until the client closes its side or a bound is reached.
 async fn linger(mut stream: TcpStream) {
     if stream.shutdown().await.is_err() {
         return;
