test: freezing a process waits until its threads stand still

Change: ProofProcess::freeze waits until no thread of the process runs, so that the test tests what it says. What it expects is unchanged.

--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -23,6 +23,9 @@
     limits_files: bool,
 }
 
+/// Interval at which a process that is being suspended is checked.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Shell command that runs a program in which a write beyond the limit of a file's size fails, and doesn't end
 /// the process.
 const FILE_LIMIT_SHELL: [&str; 2] = ["-c", r#"trap "" XFSZ; exec "$0" "$@""#];
@@ -171,13 +174,18 @@
         Ok(())
     }
 
-    /// Suspends the process (SIGSTOP); its connections stay open but do not respond.
+    /// Suspends the process (SIGSTOP) and waits until all its threads stand still; its connections stay open but do
+    /// not respond.
     ///
     /// # Errors
     ///
     /// Returns [`ProofError::NotRunning`] if the process is not running.
     pub fn freeze(&self) -> Result<(), ProofError> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        while self.id().is_some_and(has_running_threads) {
+            std::thread::sleep(STOP_POLL_INTERVAL);
+        }
+        Ok(())
     }
 
     /// Resumes a suspended process (SIGCONT).
@@ -295,6 +303,22 @@
     }
 }
 
+/// Returns whether threads of a process are neither suspended nor ended.
+fn has_running_threads(id: u32) -> bool {
+    let Ok(threads) = fs::read_dir(format!("/proc/{id}/task")) else {
+        return false;
+    };
+    threads.flatten().any(|thread| {
+        let text = fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+        // The state follows the name, which is in brackets.
+        let state = text
+            .rsplit(") ")
+            .next()
+            .and_then(|rest| rest.chars().next());
+        state.is_some_and(|state| !matches!(state, 'T' | 't' | 'Z' | 'X'))
+    })
+}
+
 /// Returns the path of a program in the target folder of the running test or example.
 ///
 /// # Errors
