fix(gateway): bytes that hyper hasn't read go back to the pipeline

What callers saw: requests that a client had sent behind an entry could get no answer, where more than 8 KB had been read with the entry.

Cause: hyper takes the bytes that were read before from a cursor, 8 KB at a time. When it is interrupted between requests, only its own buffer went back, not what was left in the cursor.

Evidence: each_request_around_an_entry_is_answered_in_order failed before (of 312 answers the last ones were missing), with answers that the host makes at once, so that hyper yields between requests.

Change: what is left in the cursor goes back behind hyper's buffer.

--- a/crates/gateway/src/sequential.rs
+++ b/crates/gateway/src/sequential.rs
@@ -99,7 +99,9 @@
             Either::Right(_) => return SequentialEnd::Close(CloseCause::Disconnected),
         }
     };
-    let unparsed = http.into_parts().read_buf;
+    let parts = http.into_parts();
+    let (input, _) = parts.io.into_inner().into_inner();
+    let unparsed = [parts.read_buf, unread(input.into_inner().0)].concat();
     match (result, current_next()) {
         (Err(e), _) if e.is_timeout() => SequentialEnd::Close(CloseCause::LateHead),
         // hyper answers most of what it can't parse, and announces the end.
@@ -108,8 +110,15 @@
         }
         (Ok(()), Some(next)) => {
             tracker.end_request(next);
-            SequentialEnd::Resume(unparsed)
+            SequentialEnd::Resume(unparsed.into())
         }
         (Ok(()), None) => SequentialEnd::Close(CloseCause::Disconnected),
     }
 }
+
+/// Returns what hyper hasn't read of the bytes that were read before.
+fn unread(buffered: Cursor<Bytes>) -> Bytes {
+    let position = usize::try_from(buffered.position()).unwrap_or(usize::MAX);
+    let bytes = buffered.into_inner();
+    bytes.slice(position.min(bytes.len())..)
+}
