fix(gateway): a late call to a control replica goes on beside the next one

Cause: a host whose link is full gets the answer to a call after more than 1,050 ms. It gave the call up, closed the connection and called the next replica, where each connection took longer than its 500 ms. In the trace, five replicas were tried in 3.9 s.

Ruled out: a longer time limit alone. A connection that is silent for good would then hold the state up for as long.

Change: a call that is late runs on for 3 s beside calls to up to two other replicas, and the first confirmed answer counts; `gateway::calls` decides when which replica is called. An answer that comes late is older by its time on the way, and confirms what the host reported only if no call was sent after it.

Test: a_host_whose_link_is_full_learns_of_changes, with 350 ms each way.

--- a/crates/director/src/mesh.rs
+++ b/crates/director/src/mesh.rs
@@ -11,8 +11,9 @@
 use quick_error::quick_error;
 use quorum::ids::ReplicaId;
 use tonic::transport::Channel;
+use wire::dial::{self, DialTimeouts};
+use wire::v1;
 use wire::v1::mesh_client::MeshClient;
-use wire::{dial, v1};
 
 use crate::message::{MeshReply, MeshRequest};
 
@@ -69,6 +70,7 @@
 #[derive(Debug)]
 struct MeshLink {
     address: SocketAddr,
+    timeouts: DialTimeouts,
     state: Mutex<LinkState>,
     /// Messages in flight that were sent without waiting for an answer.
     unanswered_sends: AtomicUsize,
@@ -91,8 +93,8 @@
             }
         }
         let dialled = future::timeout(
-            dial::CONNECT_TIMEOUT,
-            dial::connect_without_token(self.address),
+            self.timeouts.connect,
+            dial::connect_without_token(self.address, self.timeouts),
         )
         .await;
         let mut state = self.state();
@@ -134,6 +136,7 @@
 #[derive(Debug, Clone)]
 pub struct MeshLinks {
     own: ReplicaId,
+    timeouts: DialTimeouts,
     links: Arc<Mutex<HashMap<SocketAddr, Arc<MeshLink>>>>,
 }
 
@@ -142,15 +145,23 @@
     pub fn new(own: ReplicaId) -> Self {
         Self {
             own,
+            timeouts: DialTimeouts::default(),
             links: Arc::default(),
         }
     }
 
+    /// Sets the timeouts of new connections.
+    #[must_use]
+    pub fn with_timeouts(self, timeouts: DialTimeouts) -> Self {
+        Self { timeouts, ..self }
+    }
+
     fn link(&self, address: SocketAddr) -> Arc<MeshLink> {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         let link = links.entry(address).or_insert_with(|| {
             Arc::new(MeshLink {
                 address,
+                timeouts: self.timeouts,
                 state: Mutex::default(),
                 unanswered_sends: AtomicUsize::new(0),
             })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`settings`] | addresses, times, names of headers |
 //! | [`state`] | routes, backend servers and readiness of the host |
 //! | [`follower`] | state updates from the control replicas |
+//! | [`calls`] | when which control replica is called |
 //! | [`proximity`] | control replicas nearby |
 //! | [`server`] | client connections and graceful shutdown |
 //! | [`pipeline`] | client connections with pipelined requests |
@@ -36,6 +37,7 @@
 pub mod attempt;
 mod body;
 pub mod buffer;
+pub mod calls;
 pub mod close;
 pub mod follower;
 pub mod forwarder;
