fix(gateway): large answers go to clients one after the other on a thin link

Cause: what a host writes waits on its link in order. Send queues took answers of up to 225 KB at once, and after several of them everything that the host sent, calls to control replicas and new connections included, waited for their bytes (docs/MEASURED.md).

Ruled out: limits of the send queue of each connection would bound what one client takes, not what all take together; smaller receive buffers had no effect.

Change: an answer over 16 KB waits, after it was read whole, until the link has at most 50 ms of earlier answers to carry, at 85 % of the rate in the settings; smaller ones are written at once and counted. None waits longer than 3 s or past its deadline, and none once the host stops. Without a rate in the settings nothing changes. `gateway::pacing::LinkBacklog` decides.

Tests: tests/pacing.rs; they fail to build without the change.

Large answers from backend servers still fill the other direction of the link.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 //! | [`attempt`] | one attempt at one backend server |
 //! | [`pool`] | connections to backend servers |
 //! | `body` | bodies of clients' requests |
+//! | [`pacing`] | when large answers are written to a thin link |
 //! | [`buffer`] | memory for buffered bodies |
 //! | [`limit`] | what an answer says of its server's limit |
 //! | [`load`] | the load that a server reports in its answers |
@@ -45,6 +46,7 @@
 pub mod limit;
 pub mod load;
 pub mod metrics;
+pub mod pacing;
 pub mod pipeline;
 pub mod pool;
 pub mod proximity;
--- a/crates/gateway/tests/start.rs
+++ b/crates/gateway/tests/start.rs
@@ -69,6 +69,7 @@
         },
         max_key_age: None,
         memory_limit: 160 << 20,
+        link_rate: None,
         quota: None,
         shutdown_timeout: Duration::from_secs(1),
     }
