--- a/crates/director/src/mesh.rs
+++ b/crates/director/src/mesh.rs
@@ -11,9 +11,8 @@
 use quick_error::quick_error;
 use quorum::ids::ReplicaId;
 use tonic::transport::Channel;
-use wire::dial::{self, DialTimeouts};
-use wire::v1;
 use wire::v1::mesh_client::MeshClient;
+use wire::{dial, v1};
 
 use crate::message::{MeshReply, MeshRequest};
 
@@ -70,7 +69,6 @@
 #[derive(Debug)]
 struct MeshLink {
     address: SocketAddr,
-    timeouts: DialTimeouts,
     state: Mutex<LinkState>,
     /// Messages in flight that were sent without waiting for an answer.
     unanswered_sends: AtomicUsize,
@@ -93,8 +91,8 @@
             }
         }
         let dialled = future::timeout(
-            self.timeouts.connect,
-            dial::connect_without_token(self.address, self.timeouts),
+            dial::CONNECT_TIMEOUT,
+            dial::connect_without_token(self.address),
         )
         .await;
         let mut state = self.state();
@@ -136,7 +134,6 @@
 #[derive(Debug, Clone)]
 pub struct MeshLinks {
     own: ReplicaId,
-    timeouts: DialTimeouts,
     links: Arc<Mutex<HashMap<SocketAddr, Arc<MeshLink>>>>,
 }
 
@@ -145,23 +142,15 @@
     pub fn new(own: ReplicaId) -> Self {
         Self {
             own,
-            timeouts: DialTimeouts::default(),
             links: Arc::default(),
         }
     }
 
-    /// Sets the timeouts of new connections.
-    #[must_use]
-    pub fn with_timeouts(self, timeouts: DialTimeouts) -> Self {
-        Self { timeouts, ..self }
-    }
-
     fn link(&self, address: SocketAddr) -> Arc<MeshLink> {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         let link = links.entry(address).or_insert_with(|| {
             Arc::new(MeshLink {
                 address,
-                timeouts: self.timeouts,
                 state: Mutex::default(),
                 unanswered_sends: AtomicUsize::new(0),
             })
--- a/crates/director/src/service.rs
+++ b/crates/director/src/service.rs
@@ -1,7 +1,6 @@
 //! Server for calls from other processes of the deployment.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use async_std::task;
 use bytes::Bytes;
@@ -19,10 +18,6 @@
 /// Most concurrent calls on one connection.
 const MAX_CONCURRENT_STREAMS: u32 = 128;
 
-/// Timeout of a ping to a caller, after which its connection is closed. The link of an entry host may be
-/// full of answers to clients.
-const CALLER_PING_TIMEOUT: Duration = Duration::from_millis(3_000);
-
 /// Passes calls of other processes to the core and returns its answers.
 #[derive(Debug)]
 pub struct MeshService {
@@ -47,7 +42,7 @@
             .max_encoding_message_size(dial::MAX_SNAPSHOT_BYTES);
         let server = Server::builder()
             .http2_keepalive_interval(Some(dial::PING_INTERVAL * 4))
-            .http2_keepalive_timeout(Some(CALLER_PING_TIMEOUT))
+            .http2_keepalive_timeout(Some(dial::PING_TIMEOUT))
             .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
             .add_service(service)
             .serve_with_incoming(incoming);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -24,7 +24,6 @@
 use crate::limit::LimitReading;
 use crate::load::LoadReading;
 use crate::metrics::GatewayMetrics;
-use crate::pacing::AnswerPacer;
 use crate::pool::{self, ConnectError, ServerConnection, ServerPool};
 use crate::request::{self, ForwardRequest};
 use crate::settings::HeaderNames;
@@ -176,8 +175,6 @@
     pub pool: ServerPool,
     /// Memory for the bodies of requests and answers.
     pub buffers: BufferBudget,
-    /// Delays large answers while the link of the host is busy.
-    pub pacer: AnswerPacer,
     /// Names of headers.
     pub names: HeaderNames,
     /// Counters and histograms.
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -1,26 +1,21 @@
 //! State updates from the control replicas.
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_std::task;
 use clock::pause;
 use director::address;
 use director::core::MAX_CONFIRMATION_AGE;
 use director::feed::FeedMark;
-use director::mesh::{MeshError, MeshLinks};
+use director::mesh::MeshLinks;
 use director::message::{FollowReply, FollowRequest, HostStatus, MeshReply, MeshRequest};
-use futures_util::future;
-use futures_util::stream::{FuturesUnordered, StreamExt};
-use futures_util::FutureExt;
 use quorum::ids::ReplicaId;
 use quota::terms::BootTime;
 use rand::seq::SliceRandom;
 use rand::Rng;
-use wire::dial::DialTimeouts;
 
-use crate::calls::{self, CallId, CallStep, FollowCalls};
 use crate::proximity;
 use crate::settings::GatewaySettings;
 use crate::state::GatewayState;
@@ -28,12 +23,8 @@
 /// Longest time for which a control replica holds a call while there is no update (long polling).
 const LONG_POLL_WAIT: Duration = Duration::from_millis(350);
 
-/// Timeouts of a connection to a control replica. They leave room for a link that is full of other
-/// traffic: late calls don't delay those to other replicas.
-const DIAL_TIMEOUTS: DialTimeouts = DialTimeouts {
-    connect: Duration::from_millis(1_500),
-    ping: calls::GIVE_UP_TIMEOUT,
-};
+/// Time limit for the answer to a call, in addition to the long polling wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Time between two measurements of the round trips to the control replicas.
 const PROBE_INTERVAL: Duration = Duration::from_secs(10);
@@ -42,26 +33,16 @@
 /// the same time.
 const MAX_PROBE_JITTER: Duration = Duration::from_secs(5);
 
-/// How a call ended.
-#[derive(Debug)]
-struct CallEnd {
-    id: CallId,
-    replica: SocketAddr,
-    /// Time of the boot clock at which the call was sent.
-    sent_at: BootTime,
-    /// Time of the call in which the replica can't have held it.
-    transfer: Duration,
-    result: Result<MeshReply, MeshError>,
-}
+/// Time between a failed call and the next one.
+const RETRY_DELAY: Duration = Duration::from_millis(60);
 
-/// Keeps the state of the host up to date by calls to control replicas.
+/// Keeps the state of the host up to date by calls to one control replica at a time.
 #[derive(Debug)]
 pub struct StateFollower {
     settings: GatewaySettings,
     state: Arc<GatewayState>,
     mesh: MeshLinks,
-    calls: FollowCalls,
-    /// Control replicas, in the order in which they are called.
+    /// Control replicas, the one that is called first.
     replicas: Vec<SocketAddr>,
     /// Whether the host gets confirmed states; a change is logged.
     confirmed: bool,
@@ -78,8 +59,7 @@
         Self {
             settings,
             state,
-            mesh: MeshLinks::new(0).with_timeouts(DIAL_TIMEOUTS),
-            calls: FollowCalls::new(),
+            mesh: MeshLinks::new(0),
             replicas,
             confirmed: false,
             next_probe: Instant::now(),
@@ -88,27 +68,12 @@
 
     /// Updates the state until the process ends.
     pub async fn run(mut self) {
-        let mut running = FuturesUnordered::new();
         loop {
-            let until = match self.calls.next(Instant::now(), &self.replicas) {
-                CallStep::Call(replica) => {
-                    running.push(self.begin_call(replica, LONG_POLL_WAIT).boxed());
-                    continue;
-                }
-                CallStep::Wait(until) => until,
-            };
-            let Some(end) = next_end(&mut running, until).await else {
-                if running.is_empty() {
-                    self.add_seeds();
-                }
-                continue;
-            };
-            if self.apply_end(end) {
-                running.clear();
-                self.calls.end_all();
-                if self.next_probe <= Instant::now() {
-                    self.prefer_nearby().await;
-                }
+            if !self.follow_once(LONG_POLL_WAIT).await {
+                self.rotate_replicas();
+                task::sleep(RETRY_DELAY).await;
+            } else if self.next_probe <= Instant::now() {
+                self.prefer_nearby().await;
             }
         }
     }
@@ -123,18 +88,12 @@
         }
     }
 
-    /// Begins a call to a replica. It ends with the future that is returned.
-    fn begin_call(
-        &mut self,
-        replica: SocketAddr,
-        max_wait: Duration,
-    ) -> impl Future<Output = CallEnd> + Send + 'static {
-        if self.calls.is_calling() {
-            log::info!(
-                target: "follow",
-                "no answer from the control replica in time, calling another one too; replica={replica}"
-            );
-        }
+    /// Calls the current replica and applies its reply. Returns whether the replica confirmed its
+    /// state; if not, the next call goes to another replica.
+    async fn follow_once(&mut self, max_wait: Duration) -> bool {
+        let Some(replica) = self.replicas.first().copied() else {
+            return false;
+        };
         let versions = self.state.followed_versions();
         let request = MeshRequest::Follow(Box::new(FollowRequest {
             shares: self.state.spill_shares(),
@@ -155,70 +114,29 @@
             max_wait,
             ..status_request(&self.settings, self.state.is_ready())
         }));
-        let began_at = Instant::now();
-        let id = self.calls.begin(began_at, replica, max_wait);
         let sent_at = pause::boot_time();
-        let mesh = self.mesh.clone();
-        async move {
-            let result = mesh.call(replica, &request, max_wait + calls::GIVE_UP_TIMEOUT);
-            let result = result.await;
-            CallEnd {
-                id,
-                replica,
-                sent_at,
-                transfer: began_at.elapsed().saturating_sub(max_wait),
-                result,
-            }
-        }
-    }
-
-    /// Applies the end of a call. Returns whether the replica confirmed its state; if not, later calls go
-    /// to other replicas first.
-    fn apply_end(&mut self, end: CallEnd) -> bool {
-        let confirmed = match end.result {
+        let reply = self.mesh.call(replica, &request, max_wait + ANSWER_TIMEOUT);
+        match reply.await {
             Ok(MeshReply::Followed(reply)) => {
-                // A later call may have reported more.
-                let is_latest = self.calls.is_latest(end.id);
-                if is_latest {
-                    self.state.confirm_report();
-                }
-                self.apply_reply(end.sent_at, end.transfer, is_latest, *reply)
+                self.state.confirm_report();
+                let confirmed = self.apply_reply(sent_at, *reply);
+                self.record_confirmed(replica, confirmed);
+                confirmed
             }
             Ok(_) => false,
             Err(e) => {
                 log::debug!(
                     target: "follow",
-                    "call to the control replica failed; replica={} error={e}",
-                    end.replica
+                    "call to the control replica failed; replica={replica} error={e}"
                 );
+                self.record_confirmed(replica, false);
                 false
             }
-        };
-        self.record_confirmed(end.replica, confirmed);
-        if confirmed {
-            if let Some(index) = self.replicas.iter().position(|it| *it == end.replica) {
-                self.replicas[..=index].rotate_right(1);
-            }
-        } else {
-            self.calls.end_failed(Instant::now(), end.id);
-            self.add_seeds();
-            if let Some(index) = self.replicas.iter().position(|it| *it == end.replica) {
-                self.replicas[index..].rotate_left(1);
-            }
         }
-        confirmed
     }
 
-    /// Applies the reply to a call that was sent at `sent_at` and took `transfer` on the way; `is_latest`
-    /// tells whether no call was sent after it. Returns whether its replica recently confirmed its state
-    /// with a quorum.
-    fn apply_reply(
-        &mut self,
-        sent_at: BootTime,
-        transfer: Duration,
-        is_latest: bool,
-        mut reply: FollowReply,
-    ) -> bool {
+    /// Applies the reply to a call that was sent at `sent_at`. Returns whether its replica recently confirmed its state with a quorum.
+    fn apply_reply(&mut self, sent_at: BootTime, mut reply: FollowReply) -> bool {
         let now = Instant::now();
         let confirmed = reply
             .confirmed_ago
@@ -233,10 +151,8 @@
             self.set_replicas(&reply.replicas);
         }
         let quotas = reply.quotas.take();
-        reply.confirmed_ago = reply.confirmed_ago.map(|ago| ago + transfer);
         self.state.apply_reply(now, reply);
-        self.state
-            .apply_quotas(sent_at, quotas.as_ref(), confirmed && is_latest);
+        self.state.apply_quotas(sent_at, quotas.as_ref(), confirmed);
         confirmed
     }
 
@@ -272,14 +188,18 @@
         }
     }
 
-    /// Adds the seeds, which may have changed with the settings, to the replicas.
-    fn add_seeds(&mut self) {
+    /// Makes the next replica the current one. Adds the seeds first, as the settings may have
+    /// changed.
+    fn rotate_replicas(&mut self) {
         for seed in self.state.seeds() {
             let seed = SocketAddr::from(seed);
             if !self.replicas.contains(&seed) {
                 self.replicas.push(seed);
             }
         }
+        if self.replicas.len() > 1 {
+            self.replicas.rotate_left(1);
+        }
     }
 
     /// Records whether a call gave a confirmed state, and logs a change.
@@ -299,24 +219,6 @@
     }
 }
 
-/// Waits for the end of a call, until the given time at most.
-async fn next_end<F>(running: &mut FuturesUnordered<F>, until: Option<Instant>) -> Option<CallEnd>
-where
-    F: Future<Output = CallEnd>,
-{
-    let next = async {
-        match running.next().await {
-            Some(end) => end,
-            None => future::pending().await,
-        }
-    };
-    let Some(until) = until else {
-        return Some(next.await);
-    };
-    let wait = until.saturating_duration_since(Instant::now());
-    async_std::future::timeout(wait, next).await.ok()
-}
-
 /// Returns a request that carries only the status of the host.
 fn status_request(settings: &GatewaySettings, ready: bool) -> FollowRequest {
     let balance = &settings.balance;
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -94,24 +94,10 @@
         &self.sender
     }
 
-    /// Forwards a request until it is answered or refused, or until its deadline passes, and waits until
-    /// the answer may be written.
-    pub async fn forward(&self, request: &ForwardRequest) -> ForwardEnd {
-        let end = self.run_attempts(request).await;
-        match &end {
-            ForwardEnd::Server(answer) if !self.sender.state.is_stopping() => {
-                let bytes = answer.body().len();
-                self.sender.pacer.wait(bytes, request.deadline).await;
-            }
-            ForwardEnd::Server(_) | ForwardEnd::Host(_) => {}
-        }
-        end
-    }
-
-    /// Sends a request to backend servers until it is answered or refused, or until its deadline passes.
+    /// Forwards a request until it is answered or refused, or until its deadline passes.
     ///
     /// A safe request is hedged: if the first attempt takes too long, a second one runs beside it.
-    async fn run_attempts(&self, request: &ForwardRequest) -> ForwardEnd {
+    pub async fn forward(&self, request: &ForwardRequest) -> ForwardEnd {
         self.sender
             .state
             .balancer()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,6 @@
 //! | [`settings`] | addresses, times, names of headers |
 //! | [`state`] | routes, backend servers and readiness of the host |
 //! | [`follower`] | state updates from the control replicas |
-//! | [`calls`] | when which control replica is called |
 //! | [`proximity`] | control replicas nearby |
 //! | [`server`] | client connections and graceful shutdown |
 //! | [`pipeline`] | client connections with pipelined requests |
@@ -26,7 +25,6 @@
 //! | [`attempt`] | one attempt at one backend server |
 //! | [`pool`] | connections to backend servers |
 //! | `body` | bodies of clients' requests |
-//! | [`pacing`] | when large answers are written to a thin link |
 //! | [`buffer`] | memory for buffered bodies |
 //! | [`limit`] | what an answer says of its server's limit |
 //! | [`load`] | the load that a server reports in its answers |
@@ -38,7 +36,6 @@
 pub mod attempt;
 mod body;
 pub mod buffer;
-pub mod calls;
 pub mod close;
 pub mod follower;
 pub mod forwarder;
@@ -46,7 +43,6 @@
 pub mod limit;
 pub mod load;
 pub mod metrics;
-pub mod pacing;
 pub mod pipeline;
 pub mod pool;
 pub mod proximity;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -53,8 +53,6 @@
     pub max_key_age: Option<Duration>,
     /// Bytes of memory that the process may use.
     pub memory_limit: usize,
-    /// Bytes a second that the link of the host carries each way; `None` where that isn't known.
-    pub link_rate: Option<f64>,
     /// The promise about quotas of organisations; `None` where there is none.
     pub quota: Option<QuotaTerms>,
     /// Time limit of a graceful shutdown.
--- a/crates/wire/src/dial.rs
+++ b/crates/wire/src/dial.rs
@@ -17,24 +17,6 @@
 /// Timeout of a keep-alive ping, after which the connection is closed.
 pub const PING_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Timeouts of a connection.
-#[derive(Debug, Clone, Copy)]
-pub struct DialTimeouts {
-    /// Timeout of the connection attempt.
-    pub connect: Duration,
-    /// Timeout of a keep-alive ping.
-    pub ping: Duration,
-}
-
-impl Default for DialTimeouts {
-    fn default() -> Self {
-        Self {
-            connect: CONNECT_TIMEOUT,
-            ping: PING_TIMEOUT,
-        }
-    }
-}
-
 /// Maximum size of a message that carries a snapshot, in bytes.
 pub const MAX_SNAPSHOT_BYTES: usize = 256 << 20;
 
@@ -53,26 +35,23 @@
 ///
 /// Returns an error if the connection attempt fails or exceeds [`CONNECT_TIMEOUT`].
 pub async fn connect(address: SocketAddr, token: &AccessToken) -> Result<TokenChannel, Error> {
-    let channel = connect_without_token(address, DialTimeouts::default()).await?;
+    let channel = connect_without_token(address).await?;
     Ok(InterceptedService::new(channel, token.sender()))
 }
 
-/// Connects to a process like [`connect`], but sends no access token and uses the given timeouts.
+/// Connects to a process like [`connect`], but sends no access token.
 ///
 /// Use it only on a network that no hosts other than the system's own can reach.
 ///
 /// # Errors
 ///
-/// Returns an error if the connection attempt fails or exceeds its timeout.
-pub async fn connect_without_token(
-    address: SocketAddr,
-    timeouts: DialTimeouts,
-) -> Result<Channel, Error> {
+/// Returns an error if the connection attempt fails or exceeds [`CONNECT_TIMEOUT`].
+pub async fn connect_without_token(address: SocketAddr) -> Result<Channel, Error> {
     Endpoint::from_shared(format!("http://{address}"))?
-        .connect_timeout(timeouts.connect)
+        .connect_timeout(CONNECT_TIMEOUT)
         .tcp_nodelay(true)
         .http2_keep_alive_interval(PING_INTERVAL)
-        .keep_alive_timeout(timeouts.ping)
+        .keep_alive_timeout(PING_TIMEOUT)
         .keep_alive_while_idle(true)
         .connect()
         .await
