--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -36,9 +36,10 @@
 impl ClientBody {
     /// Wraps a body of which nothing was read.
     pub(crate) fn new(incoming: Incoming, expects_continue: bool) -> Self {
-        let state = match incoming.is_end_stream() {
-            true => BodyState::Complete,
-            false => BodyState::Open,
+        let state = if incoming.is_end_stream() {
+            BodyState::Complete
+        } else {
+            BodyState::Open
         };
         Self {
             incoming,
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -57,8 +57,8 @@
     Unsupported,
 }
 
-/// Serves a connection until it ends or is handed over to hyper; `buffered` holds the bytes that were read from the stream
-/// before, and `answer` answers one request. Heads have at most `max_header_bytes` bytes.
+/// Serves a connection until it ends or is handed over to hyper; `buffered` holds the bytes that were read from the
+/// stream before, and `answer` answers one request. Heads have at most `max_header_bytes` bytes.
 pub(crate) async fn serve<'a, F>(
     stream: &ClientStream,
     buffered: Bytes,
--- a/crates/gateway/src/tracker.rs
+++ b/crates/gateway/src/tracker.rs
@@ -1,4 +1,4 @@
-//! State of a client connection over its tracker.
+//! What a client connection is used for, from its start to its end.
 
 use std::pin::pin;
 use std::sync::{Mutex, MutexGuard, PoisonError};
